--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,1074 @@
+package yewwood
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// fleet is a balancer under test, its clock and the actions of the last event.
+type fleet struct {
+	t    testing.TB
+	b    *Balancer
+	now  time.Duration
+	acts []Action
+	next RequestID
+}
+
+func config() Config {
+	return Config{
+		Balancers: 4,
+		Classes: []Class{
+			{Name: "read", Goal: 800 * ms, Deadline: 2 * time.Second, Worth: 1, Semantics: Safe},
+			{Name: "write", Goal: 800 * ms, Deadline: 2 * time.Second, Worth: 1, Semantics: Keyed, RepeatWindow: time.Second},
+			{Name: "pay", Goal: 800 * ms, Deadline: 2 * time.Second, Worth: 1, Semantics: Unsafe},
+		},
+		Reporting: ReportsProbe,
+		Costs:     Costs{Probe: 0.002},
+		Limits: Limits{MaxAttempts: 4, SecondCopies: true, Probes: true, Cancel: true,
+			KeepAlive: 30 * time.Second},
+		ColdShare: 0.2, ColdFor: 10 * time.Second, FallMultiple: 3, FallAfter: 2 * time.Second,
+		Step: ms,
+	}
+}
+
+func newFleet(t testing.TB, cfg Config, list ...Endpoint) *fleet {
+	t.Helper()
+	b, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, b: b, now: time.Minute}
+	f.acts = b.Endpoints(f.now, ListRemember, list, nil)
+	return f
+}
+
+// servers returns n endpoints, numbered from 1.
+func servers(n int) []Endpoint {
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{ID: EndpointID(i + 1), Weight: 1}
+	}
+	return list
+}
+
+func (f *fleet) request(class int, budget time.Duration) RequestID {
+	f.next++
+	f.acts = f.b.Request(f.now, Request{ID: f.next, Class: class, Budget: budget}, nil)
+	return f.next
+}
+
+// find returns the endpoints or requests' actions of a kind.
+func (f *fleet) find(kind ActionKind) []Action {
+	var found []Action
+	for _, a := range f.acts {
+		if a.Kind == kind {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// probed answers a probe with a number of requests in flight.
+func (f *fleet) probed(id EndpointID, inFlight float64) {
+	f.acts = f.b.Probed(f.now, id, OK, &Load{InFlight: inFlight}, nil)
+}
+
+// sent returns the endpoint of the only Send of the last event.
+func (f *fleet) sent() EndpointID {
+	f.t.Helper()
+	s := f.find(Send)
+	if len(s) != 1 {
+		f.t.Fatalf("%d sends, want 1: %+v", len(s), f.acts)
+	}
+	return s[0].Endpoint
+}
+
+func (f *fleet) ended(r RequestID, n int, e EndpointID, res Result, took time.Duration) {
+	f.acts = f.b.Ended(f.now, Outcome{
+		Request: r, Attempt: n, Endpoint: e, Result: res, Closed: res == OK, Elapsed: took,
+	}, nil)
+}
+
+// dispatch sends a request to the endpoint that its probes find idle first.
+func (f *fleet) dispatch(class int) (RequestID, EndpointID) {
+	f.t.Helper()
+	r := f.request(class, 2*time.Second)
+	for range 100 {
+		for _, p := range f.find(Probe) {
+			f.now += ms
+			f.probed(p.Endpoint, 0)
+			if s := f.find(Send); len(s) > 0 {
+				return r, s[0].Endpoint
+			}
+		}
+		f.fireAll()
+		if s := f.find(Send); len(s) > 0 {
+			return r, s[0].Endpoint
+		}
+	}
+	f.t.Fatalf("request %d was not sent: %+v", r, f.acts)
+	return 0, 0
+}
+
+// fireAll lets the serve timer ring after the usual wait for a probe.
+func (f *fleet) fireAll() {
+	f.now += probeWait
+	f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil)
+}
+
+func (f *fleet) fire(r RequestID) {
+	f.acts = f.b.Fired(f.now, Timer{Kind: timerRequest, Ref: uint64(r)}, nil)
+}
+
+func TestIdleBeforeBusy(t *testing.T) {
+	f := newFleet(t, config(), servers(3)...)
+	f.request(0, time.Second)
+	probes := f.find(Probe)
+	if len(probes) == 0 {
+		t.Fatal("no probe at an arrival")
+	}
+	if got := f.find(Send); len(got) != 0 {
+		t.Fatalf("sent without knowing anybody idle: %+v", got)
+	}
+	f.now += ms
+	for i, p := range probes {
+		f.probed(p.Endpoint, 2)
+		if len(f.find(Send)) > 0 {
+			t.Fatalf("probe %d: sent to a busy endpoint", i)
+		}
+	}
+	more := f.find(Probe)
+	if len(more) == 0 {
+		t.Fatal("nobody idle, and no further probe")
+	}
+	f.now += ms
+	f.probed(more[0].Endpoint, 0)
+	if got := f.sent(); got != more[0].Endpoint {
+		t.Errorf("sent to %d, want the idle %d", got, more[0].Endpoint)
+	}
+}
+
+func TestReportIsSpent(t *testing.T) {
+	f := newFleet(t, config(), servers(1)...)
+	r1 := f.request(0, time.Second)
+	f.now += ms
+	f.probed(1, 0)
+	f.sent()
+	f.request(0, time.Second)
+	if got := f.find(Send); len(got) != 0 {
+		t.Fatalf("a report was used twice: %+v", got)
+	}
+	f.now += ms
+	f.ended(r1, 0, 1, OK, ms)
+	if got := f.sent(); got != 1 {
+		t.Errorf("sent to %d: with its call back, endpoint 1 is idle again", got)
+	}
+}
+
+func TestFastestIdleTypeFirst(t *testing.T) {
+	cfg := config()
+	cfg.Weights = WeightsNominal
+	list := servers(3)
+	list[1].Weight = 4
+	f := newFleet(t, cfg, list...)
+	f.request(0, time.Second)
+	// Three endpoints turn out idle before any request can use them but the first.
+	for _, e := range f.b.ready {
+		f.b.report(e, &Load{InFlight: 0}, f.now)
+		f.b.idlers = append(f.b.idlers, e)
+	}
+	f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil)
+	if got := f.sent(); got != 2 {
+		t.Errorf("sent to %d, want 2, the fastest", got)
+	}
+	f.request(0, time.Second)
+	if got := f.sent(); got == 2 {
+		t.Error("the fastest was taken twice on one report")
+	}
+}
+
+// The busy draw follows speed x share: for 20,000 draws under a fixed seed each endpoint's share must
+// be within five standard deviations.
+func TestDrawBySpeed(t *testing.T) {
+	cfg := config()
+	cfg.Weights = WeightsNominal
+	list := servers(6)
+	for i := range list {
+		list[i].Weight = []float64{1, 1, 1, 4, 4, 2}[i]
+	}
+	f := newFleet(t, cfg, list...)
+	const n = 20000
+	got := make(map[EndpointID]int)
+	r := &request{class: &f.b.cfg.Classes[0]}
+	for range n {
+		got[f.b.draw(r).ID]++
+	}
+	for _, e := range list {
+		p := e.Weight / 13
+		dev := math.Sqrt(n * p * (1 - p))
+		if d := math.Abs(float64(got[e.ID]) - n*p); d > 5*dev {
+			t.Errorf("endpoint %d of speed %g drawn %d times, want %.0f +- %.0f", e.ID, e.Weight, got[e.ID], n*p, 5*dev)
+		}
+	}
+}
+
+func TestNoSpeedsKnownIsOneType(t *testing.T) {
+	list := servers(6)
+	for i := range list {
+		list[i].Weight = float64(i + 1)
+	}
+	f := newFleet(t, config(), list...) // weights are silent
+	for _, e := range f.b.ready {
+		if got := f.b.typeOf(e); got != 1 {
+			t.Errorf("endpoint %d is of the type of speed %g, want 1 for all", e.ID, got)
+		}
+	}
+}
+
+// A fast server that answers errors reads empty: it must lose its place all the same.
+func TestFastFailerLosesItsPlace(t *testing.T) {
+	f := newFleet(t, config(), servers(2)...)
+	bad := f.b.endpoints[1]
+	for range 20 {
+		f.b.failed(bad, 0)
+	}
+	if mu := f.b.mu(bad); mu > 0.1*f.b.mu(f.b.endpoints[2]) {
+		t.Errorf("speed %g after 20 failures, want under a tenth of the other's", mu)
+	}
+	got := make(map[EndpointID]int)
+	for range 50 {
+		got[f.b.sample(false).ID]++
+	}
+	if got[1] > 0 {
+		t.Errorf("the failing endpoint was sampled %d times of 50", got[1])
+	}
+}
+
+// A trouble common to all must not leave nobody to send to.
+func TestAllSuspectStillServes(t *testing.T) {
+	f := newFleet(t, config(), servers(3)...)
+	for _, e := range f.b.ready {
+		f.b.failed(e, 0)
+	}
+	f.dispatch(0)
+}
+
+func TestFinalAnswerInTime(t *testing.T) {
+	for name, list := range map[string][]Endpoint{
+		"empty list": nil,
+		"draining":   {{ID: 1, State: Draining}},
+		"silent":     servers(2),
+	} {
+		f := newFleet(t, config(), list...)
+		r := f.request(2, 500*ms)
+		f.now += 500*ms - 2*ms
+		f.fire(r)
+		if len(f.find(Shed)) != 1 {
+			t.Errorf("%s: actions %+v, want one Shed", name, f.acts)
+		}
+		f.fire(r)
+		if len(f.acts) != 0 {
+			t.Errorf("%s: acted after the final answer: %+v", name, f.acts)
+		}
+	}
+}
+
+// What follows an attempt that ended, for each kind of class.
+func TestAfterAnAttempt(t *testing.T) {
+	const safe, keyed, unsafe = 0, 1, 2
+	type want struct{ again, shed, fail bool }
+	again, fail := want{again: true}, want{fail: true}
+	for _, c := range []struct {
+		class int
+		res   Result
+		want  want
+	}{
+		{safe, Error, again}, {safe, Timeout, again}, {safe, Reset, again}, {safe, Rejected, again},
+		{safe, ConnectFailed, again}, {safe, Canceled, again}, {safe, NotSent, again},
+		{keyed, Error, again}, {keyed, Timeout, again}, {keyed, Reset, again}, {keyed, Rejected, again},
+		{keyed, ConnectFailed, again}, {keyed, Canceled, again}, {keyed, NotSent, again},
+		{unsafe, Error, fail}, {unsafe, Timeout, fail}, {unsafe, Reset, fail}, {unsafe, Canceled, fail},
+		{unsafe, Rejected, again}, {unsafe, ConnectFailed, again}, {unsafe, NotSent, again},
+	} {
+		f := newFleet(t, config(), servers(20)...)
+		r, e := f.dispatch(c.class)
+		f.now += ms
+		f.ended(r, 0, e, c.res, ms)
+		got := want{
+			again: len(f.find(Send))+len(f.find(Probe)) > 0,
+			shed:  len(f.find(Shed)) > 0, fail: len(f.find(Fail)) > 0,
+		}
+		if got != c.want {
+			t.Errorf("class %d, result %d: %+v, want %+v", c.class, c.res, got, c.want)
+		}
+	}
+}
+
+// The final answer of a request whose attempt may have run.
+func TestFinalAnswerKind(t *testing.T) {
+	for _, c := range []struct {
+		sem   Semantics
+		scope Scope
+		want  ActionKind
+	}{
+		{Safe, ScopeAll, Shed}, {Keyed, ScopeAll, Shed}, {Keyed, ScopeZone, Fail}, {Keyed, ScopeCell, Fail},
+		{Unsafe, ScopeAll, Fail},
+	} {
+		cfg := config()
+		cfg.Classes[0].Semantics, cfg.Classes[0].Scope = c.sem, c.scope
+		f := newFleet(t, cfg, servers(5)...)
+		r, _ := f.dispatch(0)
+		f.now += time.Second
+		f.fire(r)
+		if len(f.find(c.want)) != 1 || len(f.find(Shed))+len(f.find(Fail)) != 1 {
+			t.Errorf("semantics %d, scope %d: %+v, want one action %d", c.sem, c.scope, f.acts, c.want)
+		}
+		if len(f.find(Cancel)) != 1 {
+			t.Errorf("semantics %d: the attempt was not withdrawn", c.sem)
+		}
+	}
+}
+
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	for _, scope := range []Scope{ScopeZone, ScopeCell} {
+		cfg := config()
+		cfg.Classes[1].Scope = scope
+		list := servers(30)
+		for i := range list {
+			list[i].Zone, list[i].Cell = i%3, 10+i%5
+		}
+		f := newFleet(t, cfg, list...)
+		r, e := f.dispatch(1)
+		first := f.b.endpoints[e]
+		f.now += ms
+		f.ended(r, 0, e, Error, ms)
+		for _, other := range f.b.ready {
+			same := other.Zone == first.Zone
+			if scope == ScopeCell {
+				same = other.Cell == first.Cell
+			}
+			if got := f.b.allowed(f.b.requests[r], other); got != (same && other != first) {
+				t.Errorf("scope %d: endpoint %d allowed %v", scope, other.ID, got)
+			}
+		}
+		f.now += cfg.Classes[1].RepeatWindow
+		f.b.now = f.now
+		for _, other := range f.b.ready {
+			if f.b.allowed(f.b.requests[r], other) {
+				t.Errorf("scope %d: endpoint %d allowed after the repeat window", scope, other.ID)
+			}
+		}
+	}
+}
+
+func TestNoSecondCopyWhereForbidden(t *testing.T) {
+	cfg := config()
+	cfg.Limits.SecondCopies = false
+	f := newFleet(t, cfg, servers(5)...)
+	r, _ := f.dispatch(0)
+	for _, e := range f.b.ready {
+		if f.b.allowed(f.b.requests[r], e) {
+			t.Errorf("endpoint %d allowed while an attempt is out", e.ID)
+		}
+	}
+}
+
+// A hedge that waits for an idle endpoint when the first copy fails must be in the held list once:
+// held twice, it was sent again after its final answer.
+func TestHedgeHeldOnce(t *testing.T) {
+	f := newFleet(t, config(), servers(20)...)
+	f.b.classes[0] = latency{mean: 0.05, dev: 0.02}
+	r, e := f.dispatch(0)
+	f.b.idlers = nil
+	f.now = f.b.requests[r].hedgeAt
+	f.fire(r)
+	if len(f.b.held) != 1 {
+		t.Fatalf("%d held, want the hedge", len(f.b.held))
+	}
+	f.ended(r, 0, e, Error, ms)
+	if len(f.b.held) != 1 {
+		t.Errorf("%d held after the first copy failed, want 1", len(f.b.held))
+	}
+}
+
+func TestDrainAndRemoval(t *testing.T) {
+	f := newFleet(t, config(), servers(4)...)
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{{ID: 1, State: Draining}, {ID: 2, State: Gone}}, nil)
+	if len(f.b.ready) != 2 {
+		t.Fatalf("%d ready after a drain and a removal, want 2", len(f.b.ready))
+	}
+	for range 10 {
+		if _, e := f.dispatch(0); e < 3 {
+			t.Fatalf("sent to %d, which drains or is gone", e)
+		}
+		f.now += 100 * ms
+	}
+	f.acts = f.b.Endpoints(f.now, ListFull, servers(1), nil)
+	if len(f.b.ready) != 1 || f.b.ready[0].ID != 1 {
+		t.Errorf("ready %v after a full list, want endpoint 1 alone", f.b.ready)
+	}
+	f.acts = f.b.Endpoints(f.now, ListRefused, nil, nil)
+	if len(f.b.ready) != 1 {
+		t.Error("a refused call to discovery changed the list")
+	}
+}
+
+// Idle connections to an endpoint that drains are closed at the notice, and again after each later outcome.
+func TestDrainReleasesConnections(t *testing.T) {
+	cfg := config()
+	cfg.ReleaseWithin = 800 * ms
+	f := newFleet(t, cfg, servers(2)...)
+	r, e := f.dispatch(0)
+	other := 3 - e
+	drain := []Endpoint{{ID: e, State: Draining}}
+	released := func(when string, want int) {
+		t.Helper()
+		n := 0
+		for _, a := range f.find(Release) {
+			if a.Endpoint == e {
+				n++
+			}
+		}
+		if n != want {
+			t.Errorf("%s: %d releases of %d, want %d: %+v", when, n, e, want, f.acts)
+		}
+	}
+	f.acts = f.b.Endpoints(f.now, ListChanges, drain, nil)
+	released("at the notice", 1)
+	f.now += 300 * ms
+	f.ended(r, 0, e, OK, 300*ms)
+	released("after the last outcome", 1)
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{{ID: other, State: InService}}, nil)
+	released("at news of another", 0)
+
+	f = newFleet(t, config(), servers(2)...)
+	_, e = f.dispatch(0)
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{{ID: e, State: Draining}}, nil)
+	released("without the rule", 0)
+}
+
+func TestColdRamp(t *testing.T) {
+	f := newFleet(t, config(), servers(1)...)
+	start := f.now
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{{ID: 1, Started: start}}, nil)
+	for _, c := range []struct {
+		age  time.Duration
+		want float64
+	}{{0, 0.2}, {5 * time.Second, 0.6}, {10 * time.Second, 1}, {time.Minute, 1}} {
+		f.b.now = start + c.age
+		if got := f.b.ramp(f.b.endpoints[1]); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("ramp %g at age %v, want %g", got, c.age, c.want)
+		}
+	}
+	// A restart is a new start, and what was known of the old process is forgotten.
+	f.b.failed(f.b.endpoints[1], 0)
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{{ID: 1, Started: start + time.Hour}}, nil)
+	if e := f.b.endpoints[1]; e.slow != 0 || e.fails != 0 || e.Started != start+time.Hour {
+		t.Errorf("after a restart: %+v", e)
+	}
+}
+
+// Where own calls tell who is free, a cold endpoint gets no more than its part of the own rate.
+func TestColdEndpointIsSpared(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 1
+	list := servers(10)
+	f := newFleet(t, cfg, list...)
+	cold := list[0]
+	cold.Started = f.now
+	f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{cold}, nil)
+	const n = 400
+	got := 0
+	for range n {
+		f.now += 5 * ms
+		r := f.request(0, time.Second)
+		e := f.sent()
+		if e == 1 {
+			got++
+		}
+		f.ended(r, 0, e, OK, 200*ms)
+	}
+	// Two seconds after its start it can do 0.2 to 0.36 of its part, which is a tenth of all.
+	if got > n/10/2 {
+		t.Errorf("the cold endpoint got %d of %d, want at most %d", got, n, n/10/2)
+	}
+	if got == 0 {
+		t.Error("the cold endpoint got nothing")
+	}
+}
+
+// When all others fail, every sidecar turns to the endpoint that has just started: together they must
+// not send it more than the part of a warm one's load that it can bear.
+func TestColdEndpointIsSparedWhenOthersFail(t *testing.T) {
+	const sidecars, n = 60, 20
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = sidecars
+	got, rate := 0, 2*n // requests a second over all: two a server
+	for me := range sidecars {
+		cfg.Me = me
+		f := newFleet(t, cfg, servers(n)...)
+		step := time.Second * sidecars / time.Duration(rate)
+		f.now += step * time.Duration(me) / sidecars
+		for range 10 {
+			f.now += step
+			f.request(0, time.Second)
+			for _, s := range f.find(Send) {
+				f.ended(s.Request, 0, s.Endpoint, OK, 100*ms)
+			}
+		}
+		for _, e := range f.b.ready {
+			e.suspect = f.now + time.Minute
+		}
+		cold := Endpoint{ID: n + 1, Weight: 1, Started: f.now - 2*time.Second}
+		f.acts = f.b.Endpoints(f.now, ListChanges, []Endpoint{cold}, nil)
+		for range 2 {
+			f.now += step
+			f.request(0, time.Second)
+			got += len(f.find(Send))
+		}
+	}
+	// In three seconds, at a ramp of at most 0.6, a warm server's part would be 6 x 0.6.
+	if got > 8 {
+		t.Errorf("%d calls to the cold endpoint by %d sidecars, want a few", got, sidecars)
+	}
+}
+
+// Traffic that has moved to one zone must not be refused while other zones have free cores.
+func TestSpillsToOtherZones(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 1
+	list := servers(4)
+	list[2].Zone, list[3].Zone = 1, 1
+	f := newFleet(t, cfg, list...)
+	var zones []int
+	for range 5 {
+		f.request(0, time.Second)
+		for _, s := range f.find(Send) {
+			zones = append(zones, f.b.endpoints[s.Endpoint].Zone)
+		}
+	}
+	if !slices.Equal(zones, []int{0, 0, 1, 1}) {
+		t.Errorf("five requests went to zones %v, want the own zone first, then the other, then none", zones)
+	}
+}
+
+// Sidecars that see nothing of each other must cover all endpoints alike.
+func TestSubsetsCoverAlike(t *testing.T) {
+	for _, c := range []struct{ sidecars, servers int }{{24, 41}, {60, 100}, {10, 200}, {4, 7}} {
+		met := make(map[EndpointID]int)
+		for me := range c.sidecars {
+			cfg := config()
+			cfg.Costs.Probe = 0.01
+			cfg.Me, cfg.Balancers = me, c.sidecars
+			f := newFleet(t, cfg, servers(c.servers)...)
+			for _, e := range f.b.near {
+				met[e.ID]++
+			}
+		}
+		least, most := math.MaxInt, 0
+		for id := range c.servers {
+			n := met[EndpointID(id+1)]
+			least, most = min(least, n), max(most, n)
+		}
+		if least < 3 || most > 8 && c.sidecars > 8 {
+			t.Errorf("%d sidecars on %d servers: an endpoint is met by %d to %d, want about %d",
+				c.sidecars, c.servers, least, most, overlap)
+		}
+	}
+}
+
+func TestDiscoveryIsAskedGently(t *testing.T) {
+	cfg := config()
+	cfg.AskDiscovery = true
+	f := newFleet(t, cfg, servers(3)...)
+	var last time.Duration
+	for i := range 6 {
+		timers := f.find(SetTimer)
+		if len(timers) != 1 || timers[0].Timer.Kind != timerSubscribe {
+			t.Fatalf("call %d: actions %+v, want a timer", i, f.acts)
+		}
+		if i > 0 && timers[0].Delay < last/4 {
+			t.Errorf("call %d after %v, the one before after %v: no back-off", i, timers[0].Delay, last)
+		}
+		last = timers[0].Delay
+		f.now += last
+		f.acts = f.b.Fired(f.now, timers[0].Timer, nil)
+		if len(f.find(Subscribe)) != 1 {
+			t.Fatalf("call %d: actions %+v, want Subscribe", i, f.acts)
+		}
+		f.acts = f.b.Endpoints(f.now, ListRefused, nil, nil)
+	}
+}
+
+// However often discovery refuses, it is asked again before the sidecar counts as told.
+func TestDiscoveryIsAskedInTime(t *testing.T) {
+	cfg := config()
+	cfg.AskDiscovery, cfg.AskWithin = true, time.Second
+	f := newFleet(t, cfg, servers(3)...)
+	for i, limit := 0, cfg.AskWithin; i < 8; i, limit = i+1, 4*cfg.AskWithin {
+		timers := f.find(SetTimer)
+		if len(timers) != 1 || timers[0].Delay > limit {
+			t.Fatalf("call %d: actions %+v, want a timer within %v", i, f.acts, limit)
+		}
+		f.now += timers[0].Delay
+		f.acts = f.b.Fired(f.now, timers[0].Timer, nil)
+		f.acts = f.b.Endpoints(f.now, ListRefused, nil, nil)
+	}
+}
+
+// Under overload the held requests are bounded: each is shed when it is too late to start.
+func TestHeldAreShedInTime(t *testing.T) {
+	f := newFleet(t, config(), servers(1)...)
+	f.b.endpoints[1].probing = true // a probe that is never answered
+	f.b.draws = 0
+	r := f.request(0, 2*time.Second)
+	startBy := f.b.requests[r].startBy
+	f.now = startBy
+	f.fire(r)
+	if len(f.find(Shed)) != 1 || len(f.b.held) != 0 {
+		t.Errorf("at the last moment to start: %+v, %d held, want it shed", f.acts, len(f.b.held))
+	}
+}
+
+func TestStreamIsLeftToItsClient(t *testing.T) {
+	f := newFleet(t, config(), servers(5)...)
+	r, e := f.dispatch(0)
+	f.acts = f.b.Head(f.now, r, 0, nil)
+	f.now += 5 * time.Second
+	f.fire(r)
+	if len(f.acts) != 0 {
+		t.Errorf("acted on a stream that had started: %+v", f.acts)
+	}
+	f.acts = f.b.Ended(f.now, Outcome{Request: r, Endpoint: e, Result: Reset, Closed: true}, nil)
+	if len(f.b.requests) != 0 || len(f.find(Send)) != 0 {
+		t.Errorf("after the stream: %d requests, actions %+v", len(f.b.requests), f.acts)
+	}
+}
+
+func TestSettingsAtFault(t *testing.T) {
+	for name, spoil := range map[string]func(*Config){
+		"Classes":                 func(c *Config) { c.Classes = nil },
+		"Classes[0].Semantics":    func(c *Config) { c.Classes[0].Semantics = 9 },
+		"Classes[1].Scope":        func(c *Config) { c.Classes[1].Scope = 9 },
+		"Classes[2].Goal":         func(c *Config) { c.Classes[2].Goal = 0 },
+		"Classes[0].Deadline":     func(c *Config) { c.Classes[0].Deadline = -1 },
+		"Classes[1].RepeatWindow": func(c *Config) { c.Classes[1].RepeatWindow = -1 },
+		"ColdFor":                 func(c *Config) { c.ColdFor = -1 },
+		"ReleaseWithin":           func(c *Config) { c.ReleaseWithin = -1 },
+		"DrainGrace":              func(c *Config) { c.DrainGrace = -1 },
+		"ColdShare":               func(c *Config) { c.ColdShare = 1.5 },
+		"FallMultiple":            func(c *Config) { c.FallMultiple = math.NaN() },
+		"Costs.Waste":             func(c *Config) { c.Costs.Waste = math.Inf(1) },
+		"Goal.Nines":              func(c *Config) { c.Goal.Nines = -0.1 },
+		"Weights":                 func(c *Config) { c.Weights = 9 },
+		"Reporting":               func(c *Config) { c.Reporting = 9 },
+		"Limits.MaxAttempts":      func(c *Config) { c.Limits.MaxAttempts = -1 },
+		"Classes[1].Worth":        func(c *Config) { c.Classes[1].Worth = -3 },
+		"Classes[1].LateShare":    func(c *Config) { c.Classes[1].LateShare = 2 },
+		"Tenants[0].Quota":        func(c *Config) { c.Tenants = []Tenant{{Quota: math.NaN()}} },
+		"Limits.ConnectTimeout":   func(c *Config) { c.Limits.ConnectTimeout = -1 },
+	} {
+		cfg := config()
+		spoil(&cfg)
+		_, err := New(cfg, 1)
+		if err == nil || !strings.Contains(err.Error(), " "+name+":") {
+			t.Errorf("%s: error %v does not name it", name, err)
+		}
+	}
+}
+
+// Requests over their tenant's quota are worth little: they must not take what others wait for.
+func TestOverQuotaGivesWay(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 2
+	cfg.Tenants = []Tenant{{Name: "large", Quota: 20}, {Name: "small", Quota: 200}}
+	f := newFleet(t, cfg, servers(4)...)
+	served := [2]int{}
+	for i := range 400 { // the first tenant asks for ten times its part of the quota
+		f.now += 5 * ms
+		f.next++
+		tenant := 0
+		if i%2 == 1 {
+			tenant = 1
+		}
+		f.acts = f.b.Request(f.now, Request{ID: f.next, Tenant: tenant, Budget: time.Second}, nil)
+		served[tenant] += len(f.find(Send))
+		if len(f.find(Shed)) == 0 {
+			continue
+		}
+		if tenant == 1 {
+			t.Fatalf("request %d within its quota was shed at once", i)
+		}
+	}
+	if over := f.b.overQuota(0); !over {
+		t.Error("the first tenant is not over its quota after ten times its part")
+	}
+	if f.b.overQuota(1) {
+		t.Error("the second tenant is over its quota")
+	}
+	f.b.cfg.Tier = 1
+	if f.b.overQuota(0) {
+		t.Error("the calls of a request that was let in were counted again")
+	}
+}
+
+// Cutting the share below one call for each endpoint does nothing but take long to undo.
+func TestShareIsNotWoundDown(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 1
+	f := newFleet(t, cfg, servers(10)...)
+	for range 3000 {
+		f.now += 20 * ms
+		f.b.now = f.now
+		f.b.moveShare(5, 5)
+	}
+	if f.b.share < 1 {
+		t.Errorf("share %g after long crowding, want at least 1 for speeds of 1", f.b.share)
+	}
+}
+
+// In a crowd the share falls, and it rises again only if somebody had to wait.
+func TestShareFollowsThePace(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	f := newFleet(t, cfg, servers(10)...)
+	move := func(pace float64, n int) {
+		for range n {
+			f.now += 20 * ms
+			f.b.now = f.now
+			f.b.moveShare(pace, -3)
+		}
+	}
+	move(-2, 200)
+	if f.b.share != 1 {
+		t.Errorf("share %g with nobody waiting, want 1", f.b.share)
+	}
+	f.b.full = true
+	move(-2, 50)
+	up := f.b.share
+	if up <= 1 {
+		t.Errorf("share %g after somebody waited, want more than 1", up)
+	}
+	move(-0.5, 200)
+	if f.b.share >= up {
+		t.Errorf("share %g in a crowd, want less than %g", f.b.share, up)
+	}
+}
+
+// In an overload all sidecars would spill into each other's stretches, and own calls would tell nothing
+// of an endpoint's load: others are used only when all in the stretch fail.
+func TestOthersOnlyWhenTheStretchFails(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 40
+	list := servers(40)
+	for i := range list {
+		list[i].Zone = i % 2
+	}
+	f := newFleet(t, cfg, list...)
+	stretch := slices.Concat(f.b.near, f.b.far)
+	sent := 0
+	for range 30 {
+		f.request(0, time.Second)
+		for _, s := range f.find(Send) {
+			sent++
+			if e := f.b.endpoints[s.Endpoint]; !slices.Contains(stretch, e) {
+				t.Fatalf("sent to %d outside the stretch though its members do not fail", e.ID)
+			}
+		}
+	}
+	if sent != len(stretch) {
+		t.Errorf("%d sent, want one to each of the %d in the stretch", sent, len(stretch))
+	}
+	for _, e := range stretch {
+		f.b.failed(e, 0)
+	}
+	f.request(0, time.Second)
+	sends := f.find(Send) // those held until now go too
+	if len(sends) == 0 {
+		t.Fatal("nobody was sent to though others do not fail")
+	}
+	for _, s := range sends {
+		if e := f.b.endpoints[s.Endpoint]; slices.Contains(stretch, e) {
+			t.Errorf("sent to %d though it fails", e.ID)
+		}
+	}
+}
+
+// In a shortage the class whose worth is highest for a server's time goes first, and the class served
+// worst is not starved where the goal counts it.
+func TestDearClassFirst(t *testing.T) {
+	cfg := config()
+	cfg.Classes = cfg.Classes[:2]
+	cfg.Classes[0].Worth = 12
+	cfg.Goal = GoalWeights{Whole: 0.6, WorstClass: 0.4}
+	f := newFleet(t, cfg, servers(3)...)
+	f.b.count(0)
+	f.b.count(1)
+	f.b.classes[0].served, f.b.classes[1].served = 1, 1
+	if got := f.b.byValue(); got[0] != 0 {
+		t.Errorf("order %v, want the dear class first", got)
+	}
+	f.b.classes[0].mean = 60 * f.b.classes[1].mean
+	if got := f.b.byValue(); got[0] != 1 {
+		t.Errorf("order %v, want the class first that needs a sixtieth of the time", got)
+	}
+	f.b.classes[0].mean = f.b.classes[1].mean
+	for range 100 {
+		f.b.count(0)
+		f.b.count(1)
+		f.b.classes[0].served++
+	}
+	f.b.cfg.Classes[0].Worth = 2
+	if got := f.b.byValue(); got[0] != 1 {
+		t.Errorf("order %v, want the class that is served worst first", got)
+	}
+	for range 1000 {
+		f.b.count(0)
+	}
+	if a := f.b.classes[1].asked; a > 60 {
+		t.Errorf("%g requests of the second class counted after a change of the mix, want old ones forgotten", a)
+	}
+}
+
+// Held requests go out in that order.
+func TestHeldGoByValue(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Classes[0].Worth = 12
+	cfg.Goal.Whole = 1
+	cfg.Balancers = 1
+	f := newFleet(t, cfg, servers(1)...)
+	first := f.request(1, 2*time.Second)
+	e := f.sent()
+	dear := f.request(0, 2*time.Second)
+	f.request(1, 2*time.Second)
+	f.now += 20 * ms
+	f.ended(first, 0, e, OK, 20*ms)
+	f.sent()
+	if got := f.find(Send)[0].Request; got != dear {
+		t.Errorf("request %d was sent, want %d of the dear class though it is older", got, dear)
+	}
+}
+
+// Connections that something drops unseen after some idle time are closed before the next call; where
+// calls are lost on connections in use as well, closing would not help.
+func TestStaleConnectionsAreClosedFirst(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 1
+	for _, lostInUse := range []bool{false, true} {
+		f := newFleet(t, cfg, servers(1)...)
+		// call sends after an idle time; it is lost if lost is, but on a new connection only if lostInUse.
+		call := func(idle time.Duration, lost bool) (released bool) {
+			f.now += idle
+			f.b.endpoints[1].suspect = 0
+			r := f.request(2, 2*time.Second)
+			e := f.sent()
+			released = len(f.find(Release)) > 0
+			f.now += 50 * ms
+			res := OK
+			if lost && (lostInUse || !released) {
+				res = Timeout
+			}
+			f.ended(r, 0, e, res, 50*ms)
+			return released
+		}
+		call(time.Second, false)
+		if call(2*time.Second, false) {
+			t.Error("a sound connection was closed")
+		}
+		for range 4 {
+			call(2*time.Second, true)
+			call(20*ms, lostInUse)
+			call(20*ms, lostInUse)
+		}
+		if got := call(2*time.Second, false); got == lostInUse {
+			t.Errorf("calls lost in use too: %v; idle connection closed first: %v", lostInUse, got)
+		}
+		if call(60*ms, false) {
+			t.Error("a connection idle for a short time was closed")
+		}
+	}
+}
+
+// A call lost after a long wait must cost its endpoint more than the least back-off: a jammed one recovers
+// only if it is left alone, and each further call there is lost as slowly.
+func TestTimeoutBacksOffForItsTime(t *testing.T) {
+	f := newFleet(t, config(), servers(2)...)
+	e := f.b.endpoints[1]
+	f.b.failed(e, 2*time.Second)
+	if wait := e.suspect - f.b.now; wait < time.Second {
+		t.Errorf("passed over for %v after a call lost in 2 s", wait)
+	}
+	f.b.failed(f.b.endpoints[2], 0)
+	if wait := f.b.endpoints[2].suspect - f.b.now; wait > time.Second {
+		t.Errorf("passed over for %v after a quick failure", wait)
+	}
+}
+
+// Where many sidecars share few endpoints, one call of each is too much for a jammed one: calls lost in
+// silence must cut how many are out, and answers let it grow again.
+func TestCongestionWindow(t *testing.T) {
+	cfg := config()
+	cfg.Costs.Probe = 0.01
+	cfg.Balancers = 100
+	f := newFleet(t, cfg, servers(10)...)
+	outs := func() (n int) {
+		for range 20 {
+			f.request(2, 2*time.Second)
+			n += len(f.find(Send))
+		}
+		return n
+	}
+	settle := func(res Result, took time.Duration) {
+		f.now += took
+		for _, r := range f.b.requests {
+			for i := range r.attempts {
+				if a := &r.attempts[i]; a.out {
+					f.ended(r.ID, i, a.to.ID, res, took)
+				}
+			}
+		}
+		for _, e := range f.b.ready {
+			e.suspect = 0
+		}
+	}
+	if n := outs(); n != 1 {
+		t.Fatalf("%d calls out at the start, want one: a hundred sidecars meet ten endpoints", n)
+	}
+	f.b.held = nil
+	settle(Timeout, time.Second)
+	if f.b.window >= 0.5 {
+		t.Fatalf("window %g after all calls were lost, want under one", f.b.window)
+	}
+	f.b.held = nil
+	f.b.rateAt = f.now
+	if n := outs(); n != 0 {
+		t.Errorf("%d calls at once after all were lost, want them spaced out", n)
+	}
+	f.now += time.Minute
+	if n := outs(); n != 1 {
+		t.Errorf("%d calls after a while, want one to find out", n)
+	}
+	idle := f.b.window
+	f.b.held = nil
+	settle(OK, 50*ms)
+	if f.b.window != idle {
+		t.Errorf("the window grew from %g to %g though nobody waited", idle, f.b.window)
+	}
+	for range 200 {
+		f.now += time.Second
+		outs()
+		settle(OK, 50*ms)
+	}
+	if f.b.window < 3 {
+		t.Errorf("window %g after many answers, want it open again", f.b.window)
+	}
+}
+
+// A request with little time left must not be refused before a probe has told whether anybody is idle.
+func TestLittleTimeIsWorthATry(t *testing.T) {
+	f := newFleet(t, config(), servers(3)...)
+	f.b.classes[0].mean = 0.4
+	r := f.request(0, 300*ms) // less than a usual call
+	p := f.find(Probe)
+	for _, a := range f.find(SetTimer) {
+		if a.Timer.Kind == timerRequest && a.Delay < ms {
+			t.Errorf("it is looked at again after %v, before a probe can have come back", a.Delay)
+		}
+	}
+	f.now += ms
+	f.fire(r)
+	if len(f.find(Shed)) != 0 {
+		t.Fatal("refused while a probe is out")
+	}
+	f.probed(p[0].Endpoint, 0)
+	f.sent()
+	f.b.draws = 0
+	f.request(0, 300*ms)
+	f.now += probeWait
+	f.fire(f.next)
+	if len(f.find(Shed)) != 1 {
+		t.Errorf("%+v, want it refused once nobody was found in a probe's time", f.acts)
+	}
+}
+
+// While new connections fail, endpoints that a connection is open to are probed and taken first; once new
+// ones succeed again, all are.
+func TestLinkedFirstWhileConnectionsFail(t *testing.T) {
+	f := newFleet(t, config(), servers(200)...)
+	linked := make(map[EndpointID]bool)
+	end := func(res Result) {
+		f.b.probes, f.b.probesOut = probesSaved, 0
+		for _, e := range f.b.ready {
+			e.probing = false
+		}
+		r, e := f.dispatch(2)
+		f.now += 20 * ms
+		f.ended(r, 0, e, res, 20*ms)
+		linked[e] = linked[e] || res == OK
+		f.acts = f.b.Abandoned(f.now, r, nil)
+	}
+	// share is the part of samples that are linked endpoints.
+	share := func() float64 {
+		hit := 0
+		for range 100 {
+			if linked[f.b.sample(false).ID] {
+				hit++
+			}
+		}
+		return float64(hit) / 100
+	}
+	for range 4 {
+		end(OK)
+	}
+	if s := share(); s > 0.2 {
+		t.Errorf("%g of the samples are linked endpoints though new connections succeed", s)
+	}
+	for range 6 {
+		end(ConnectFailed)
+	}
+	if s := share(); s < 0.4 {
+		t.Errorf("%g of the samples are linked endpoints while new connections fail", s)
+	}
+	two := []*endpoint{f.b.endpoints[1], f.b.endpoints[2]}
+	for i, e := range two {
+		e.suspect, e.slow, e.lastUsed = 0, 0, time.Duration(i)*f.now
+		f.b.report(e, &Load{}, f.now)
+	}
+	f.b.idlers = append(f.b.idlers[:0], two...)
+	if got := f.b.pick(&request{class: &f.b.cfg.Classes[0]}); got != two[1] {
+		t.Errorf("picked %+v of two idle endpoints, want the linked one", got)
+	}
+}
+
+// Ties among idle endpoints of one type are broken uniformly: 4000 picks of four, within five deviations.
+func TestIdleTiesAreUniform(t *testing.T) {
+	f := newFleet(t, config(), servers(4)...)
+	const n = 4000
+	got := make(map[EndpointID]int)
+	for range n {
+		f.b.idlers = f.b.idlers[:0]
+		for _, e := range f.b.ready {
+			f.b.report(e, &Load{}, f.now)
+			f.b.idlers = append(f.b.idlers, e)
+		}
+		got[f.b.pick(&request{class: &f.b.cfg.Classes[0]}).ID]++
+	}
+	for id := EndpointID(1); id <= 4; id++ {
+		if d := math.Abs(float64(got[id]) - n/4); d > 5*math.Sqrt(n*0.25*0.75) {
+			t.Errorf("endpoint %d was picked %d times of %d, want about a quarter", id, got[id], n)
+		}
+	}
+}
--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,86 @@
+package yewwood
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkRequest plays a request's whole life: arrival, probes where they are cheap, one attempt, its
+// answer. Its cost must not grow with the fleet.
+func BenchmarkRequest(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		price float64
+	}{{"probing", 0.002}, {"own-calls", 0.01}} {
+		for _, n := range []int{20, 200, 2000} {
+			b.Run(fmt.Sprintf("%s/%d", c.name, n), func(b *testing.B) {
+				cfg := config()
+				cfg.Costs.Probe = c.price
+				f := newFleet(b, cfg, servers(n)...)
+				var next []Action
+				b.ReportAllocs()
+				for b.Loop() {
+					f.now += ms
+					f.next++
+					f.acts = f.b.Request(f.now, Request{ID: f.next, Budget: time.Second}, f.acts[:0])
+					for i := 0; i < len(f.acts); i++ {
+						switch a := f.acts[i]; a.Kind {
+						case Probe:
+							next = f.b.Probed(f.now, a.Endpoint, OK, &Load{}, next[:0])
+							f.acts = append(f.acts, next...)
+						case Send:
+							next = f.b.Ended(f.now, Outcome{Request: a.Request, Endpoint: a.Endpoint, Result: OK,
+								Closed: true, Elapsed: 50 * ms}, next[:0])
+							f.acts = append(f.acts, next...)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPick picks for a request with nobody idle, by the paper's draw, and by own calls.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		cfg := config()
+		cfg.Costs.Probe = 0.01
+		f := newFleet(b, cfg, servers(n)...)
+		r := &request{class: &f.b.cfg.Classes[0]}
+		b.Run(fmt.Sprintf("draw/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.b.draw(r)
+			}
+		})
+		b.Run(fmt.Sprintf("own-calls/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f.b.pick(r)
+			}
+		})
+	}
+}
+
+// Events out of order, repeated or late must be ignored.
+func TestBadUse(t *testing.T) {
+	f := newFleet(t, config(), servers(3)...)
+	r, e := f.dispatch(0)
+	f.ended(r, 0, e, OK, ms)
+	for name, event := range map[string]func() []Action{
+		"outcome twice":   func() []Action { return f.b.Ended(f.now, Outcome{Request: r, Endpoint: e}, nil) },
+		"unknown attempt": func() []Action { return f.b.Ended(f.now, Outcome{Request: r, Attempt: 7}, nil) },
+		"negative":        func() []Action { return f.b.Ended(f.now, Outcome{Request: r, Attempt: -1}, nil) },
+		"late head":       func() []Action { return f.b.Head(f.now, r, 0, nil) },
+		"late abandon":    func() []Action { return f.b.Abandoned(f.now, r, nil) },
+		"unasked probe":   func() []Action { return f.b.Probed(f.now, 99, OK, &Load{}, nil) },
+		"unknown timer":   func() []Action { return f.b.Fired(f.now, Timer{Kind: 77, Ref: 5}, nil) },
+		"late timer":      func() []Action { return f.b.Fired(f.now, Timer{timerRequest, uint64(r)}, nil) },
+		"unknown class":   func() []Action { return f.b.Request(f.now, Request{ID: 1 << 50, Class: 9}, nil) },
+	} {
+		if acts := event(); len(acts) != 0 {
+			t.Errorf("%s: actions %+v, want none", name, acts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"yewwood.example/yewwood"
+)
+
+// Config reads an instance's settings, and the fields of its load reports in
+// order. Unknown keys are skipped.
+func Config(text []byte) (yewwood.Config, []LoadField, error) {
+	var s settings
+	s.Limits.Cancel, s.Limits.MaxStreams = true, 1
+	if err := json.Unmarshal(text, &s); err != nil {
+		return yewwood.Config{}, nil, fmt.Errorf("config: %w", err)
+	}
+	c := yewwood.Config{
+		Me: s.Me, Balancers: s.Balancers, Tier: s.Tier, Zone: s.Zone,
+		OverQuotaWorth: s.OverShareWorth,
+		MarksRepeats:   s.Clients.MarksRetry,
+		PassesBudget:   s.Specifics.PassesDeadline,
+		AskDiscovery:   s.Discovery == "ask",
+		AskWithin:      s.Rules.AskWithin,
+		Costs:          s.Costs,
+		Limits: yewwood.Limits{
+			MaxAttempts: s.Limits.AttemptsCap, SecondCopies: s.Limits.SecondCopies,
+			Probes: s.Limits.Probes, Cancel: s.Limits.Cancel, Peers: s.Limits.Peers, MaxRetryAfter: s.Limits.MaxRetryAfter,
+			ConnectTimeout: s.Limits.ConnectTimeout, KeepAlive: s.Limits.KeepAlive,
+			MaxStreams: s.Limits.MaxStreams,
+		},
+		ColdShare: s.Rules.ColdShare, ColdFor: s.Rules.Cold,
+		FallMultiple: s.Rules.FallMultiple, FallAfter: s.Rules.TipAfter,
+		DrainGrace: s.Rules.DrainGrace, ReleaseWithin: s.Rules.ReleaseWithin,
+		Goal: yewwood.GoalWeights{
+			Whole: s.Goal.Whole, WorstWindow: s.Goal.WorstWindow, WorstClass: s.Goal.WorstClass,
+			WorstTenant: s.Goal.WorstTenant, Nines: s.Goal.LogLossPart, NinesFull: s.Goal.NinesFull,
+		},
+		WorthByWork: s.CountedBy == "work",
+		Step:        s.Step,
+	}
+	if !s.Limits.RetryAfter {
+		c.Limits.MaxRetryAfter = 0
+	}
+	for i, k := range s.Classes {
+		class := yewwood.Class{
+			Name: k.Name, Goal: k.Goal, Deadline: k.Deadline, Worth: k.Importance,
+			LateShare: k.LateShare, GoalStretch: k.AimStretch, RepeatWindow: k.RepeatWindow, Stream: k.Stream,
+		}
+		var ok bool
+		if class.Semantics, ok = semantics[k.Semantics]; !ok {
+			return c, nil, fmt.Errorf("config: classes[%d].semantics: unknown value %q", i, k.Semantics)
+		}
+		if class.Scope, ok = scopes[k.KeyScope]; !ok && class.Semantics == yewwood.Keyed {
+			return c, nil, fmt.Errorf("config: classes[%d].keyScope: unknown value %q", i, k.KeyScope)
+		}
+		c.Classes = append(c.Classes, class)
+	}
+	for _, t := range s.Tenants {
+		c.Tenants = append(c.Tenants, yewwood.Tenant(t))
+	}
+	var ok bool
+	if c.Weights, ok = weights[s.Weights]; !ok {
+		return c, nil, fmt.Errorf("config: weights: unknown value %q", s.Weights)
+	}
+	if c.Reporting, ok = reporting[s.LoadInfo.How]; !ok {
+		return c, nil, fmt.Errorf("config: loadInfo.how: unknown value %q", s.LoadInfo.How)
+	}
+	fields := make([]LoadField, len(s.LoadInfo.Fields))
+	for i, name := range s.LoadInfo.Fields {
+		fields[i] = loadFields[name]
+	}
+	return c, fields, nil
+}
+
+// settings are the settings as they come; times are in nanoseconds.
+type settings struct {
+	Balancers, Me, Tier, Zone int
+	Classes                   []struct {
+		Goal         time.Duration `json:"goalTimeNs"`
+		Deadline     time.Duration `json:"hardLimitNs"`
+		Importance   float64
+		KeyScope     string
+		LateShare    float64
+		AimStretch   float64
+		Name         string
+		RepeatWindow time.Duration `json:"repeatWindowNs"`
+		Semantics    string
+		Stream       bool
+	}
+	Clients   struct{ MarksRetry bool }
+	Costs     yewwood.Costs
+	CountedBy string
+	Discovery string
+	Specifics struct{ PassesDeadline bool }
+	Limits    struct {
+		AttemptsCap                                     int
+		Cancel, Peers, Probes, RetryAfter, SecondCopies bool
+		ConnectTimeout                                  time.Duration `json:"connectTimeoutNs"`
+		KeepAlive                                       time.Duration `json:"keepaliveNs"`
+		MaxRetryAfter                                   time.Duration `json:"maxRetryAfterNs"`
+		MaxStreams                                      int
+	}
+	Goal struct {
+		Whole, WorstWindow, WorstClass, WorstTenant, LogLossPart, NinesFull float64
+	}
+	LoadInfo struct {
+		Fields []string
+		How    string
+	}
+	OverShareWorth float64
+	Rules          struct {
+		AskWithin     time.Duration `json:"askWithinNs"`
+		Cold          time.Duration `json:"coldNs"`
+		ColdShare     float64
+		FallMultiple  float64
+		TipAfter      time.Duration `json:"tipAfterNs"`
+		DrainGrace    time.Duration `json:"drainGraceNs"`
+		ReleaseWithin time.Duration `json:"releaseWithinNs"`
+	}
+	Tenants []struct {
+		Name  string
+		Quota float64 `json:"quotaPerS"`
+		Share float64
+	}
+	Step    time.Duration `json:"stepNs"`
+	Weights string
+}
+
+// An empty name is a key that was left out.
+var (
+	semantics = map[string]yewwood.Semantics{
+		"safe": yewwood.Safe, "keyed": yewwood.Keyed, "unsafe": yewwood.Unsafe,
+	}
+	scopes = map[string]yewwood.Scope{
+		"all": yewwood.ScopeAll, "zone": yewwood.ScopeZone, "cell": yewwood.ScopeCell,
+	}
+	weights = map[string]yewwood.Weights{
+		"": yewwood.WeightsSilent, "silent": yewwood.WeightsSilent, "nominal": yewwood.WeightsNominal,
+		"rough": yewwood.WeightsRough, "live": yewwood.WeightsLive,
+	}
+	reporting = map[string]yewwood.Reporting{
+		"": yewwood.ReportsNone, "silent": yewwood.ReportsNone, "pull": yewwood.ReportsProbe,
+		"piggyback": yewwood.ReportsInAnswer,
+	}
+	loadFields = map[string]LoadField{
+		"busy_reqs": FieldInFlight, "pending": FieldQueue, "cpu_share": FieldUtil,
+		"svc_ms": FieldLatency, "served_ps": FieldServed, "failed_ps": FieldFailed,
+	}
+)
--- /dev/null
+++ b/internal/wire/parse.go
@@ -0,0 +1,218 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"math"
+	"strconv"
+
+	"yewwood.example/yewwood"
+)
+
+// parser takes the values of a line one by one. The first mistake sticks and
+// end returns it.
+type parser struct {
+	rest []byte
+	none bool // nothing is left, not even an empty value
+	err  error
+}
+
+func (p *parser) fail(format string, args ...any) {
+	if p.err == nil {
+		p.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (p *parser) word() []byte {
+	if p.none {
+		p.fail("too few values")
+		return nil
+	}
+	i := bytes.IndexByte(p.rest, ' ')
+	if i < 0 {
+		p.none = true
+		return p.rest
+	}
+	w := p.rest[:i]
+	p.rest = p.rest[i+1:]
+	return w
+}
+
+func (p *parser) text() []byte {
+	if p.none {
+		p.fail("too few values")
+		return nil
+	}
+	p.none = true
+	return p.rest
+}
+
+func (p *parser) end() error {
+	if !p.none {
+		p.fail("too many values")
+	}
+	return p.err
+}
+
+func (p *parser) number(w []byte, bits int) uint64 {
+	var n uint64
+	if len(w) == 0 {
+		p.fail("bad number %q", w)
+		return 0
+	}
+	limit := uint64(math.MaxUint64) >> (64 - bits)
+	for _, c := range w {
+		d := uint64(c) - '0'
+		if d > 9 || n > (limit-d)/10 {
+			p.fail("bad number %.40q", w)
+			return 0
+		}
+		n = n*10 + d
+	}
+	return n
+}
+
+func (p *parser) uint(bits int) uint64 { return p.number(p.word(), bits) }
+
+// optional takes a number that may be absent, which counts as 0.
+func (p *parser) optional(bits int) uint64 {
+	w := p.word()
+	if string(w) == "-" {
+		return 0
+	}
+	return p.number(w, bits)
+}
+
+func (p *parser) int() int64 {
+	w := p.word()
+	if len(w) > 0 && w[0] == '-' {
+		return -int64(p.number(w[1:], 63))
+	}
+	return int64(p.number(w, 63))
+}
+
+// small takes a number to be used as an index.
+func (p *parser) small() int { return int(p.uint(31)) }
+
+func (p *parser) float(absent float64) float64 {
+	w := p.word()
+	if string(w) == "-" {
+		return absent
+	}
+	v, err := strconv.ParseFloat(string(w), 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		p.fail("bad number %.40q", w)
+	}
+	return v
+}
+
+func (p *parser) bool() bool {
+	w := p.word()
+	if len(w) != 1 || w[0] != '0' && w[0] != '1' {
+		p.fail("%.40q is neither 0 nor 1", w)
+		return false
+	}
+	return w[0] == '1'
+}
+
+func (p *parser) instance() uint32 {
+	w := p.word()
+	n, ok := bytes.CutPrefix(w, []byte("sidecar_"))
+	if !ok {
+		p.fail("bad instance %.40q", w)
+		return 0
+	}
+	return uint32(p.number(n, 32))
+}
+
+func (p *parser) endpoint() yewwood.EndpointID { return yewwood.EndpointID(p.uint(32)) }
+
+func (p *parser) request() yewwood.RequestID {
+	w := p.word()
+	n, ok := hex(w)
+	if !ok || len(w) != 16 {
+		p.fail("bad request id %.40q", w)
+	}
+	return yewwood.RequestID(n)
+}
+
+// cookie takes a timer's token; one that no reply of ours has set is none of ours.
+func (p *parser) cookie() yewwood.Timer {
+	w := p.word()
+	if len(w) == 0 || len(w) > 64 {
+		p.fail("bad cookie %.70q", w)
+	}
+	kind, ref, ok := bytes.Cut(w, []byte{'.'})
+	if !ok || len(kind) != 1 || kind[0] < '0' || kind[0] > '9' || len(ref) != 16 {
+		return yewwood.Timer{}
+	}
+	n, ok := hex(ref)
+	if !ok {
+		return yewwood.Timer{}
+	}
+	return yewwood.Timer{Kind: kind[0] - '0', Ref: n}
+}
+
+func hex(w []byte) (n uint64, ok bool) {
+	for _, c := range w {
+		switch {
+		case c >= '0' && c <= '9':
+			n = n<<4 | uint64(c-'0')
+		case c >= 'a' && c <= 'f':
+			n = n<<4 | uint64(c-'a'+10)
+		default:
+			return 0, false
+		}
+	}
+	return n, true
+}
+
+func (p *parser) base64() {
+	w := p.word()
+	if string(w) == "-" {
+		return
+	}
+	buf := make([]byte, base64.StdEncoding.DecodedLen(len(w)))
+	if _, err := base64.StdEncoding.Decode(buf, w); err != nil {
+		p.fail("bad base64: %v", err)
+	}
+}
+
+func (p *parser) state() yewwood.State {
+	switch w := p.word(); string(w) {
+	case "in_service":
+		return yewwood.InService
+	case "terminating":
+		return yewwood.Draining
+	case "terminated":
+		return yewwood.Gone
+	default:
+		p.fail("unknown status %.40q", w)
+		return yewwood.Gone
+	}
+}
+
+func (p *parser) result() yewwood.Result {
+	switch w := p.word(); string(w) {
+	case "completed":
+		return yewwood.OK
+	case "errored":
+		return yewwood.Error
+	case "saturated":
+		return yewwood.Rejected
+	case "overdue":
+		return yewwood.Timeout
+	case "refused_conn":
+		return yewwood.ConnectFailed
+	case "severed":
+		return yewwood.Reset
+	case "recalled":
+		return yewwood.Canceled
+	case "superseded":
+		return yewwood.NotSent
+	default:
+		p.fail("unknown reason %.40q", w)
+		return yewwood.NotSent
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,442 @@
+// Package wire reads and writes the operators' line dialect: batches of events
+// in, replies of actions out. It takes no decisions.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"yewwood.example/yewwood"
+)
+
+// Kind is the kind of an [Event].
+type Kind uint8
+
+// The kinds of event.
+const (
+	NewInstance Kind = iota
+	PowerOff
+	Endpoints
+	Query
+	Head
+	Reply
+	Aborted
+	Ring
+	ProbeResult
+	Inbox
+)
+
+// Event is one event of a batch. Only the fields of its kind are set.
+type Event struct {
+	Kind     Kind
+	Instance uint32
+	Line     int // its line in the input, from 1
+
+	Seed    uint64
+	Config  []byte // of NewInstance, valid until the next batch
+	List    yewwood.ListKind
+	Entries []yewwood.Endpoint // shared between events; valid until the next batch
+	Request yewwood.Request    // Query; its ID for all events about a request
+	Outcome yewwood.Outcome    // Reply, and ProbeResult as far as it goes; Load is not set
+	Timer   yewwood.Timer      // zero for a cookie that no reply has set
+
+	report [MaxFields]float64
+	values int // of report; -1 without one
+	load   yewwood.Load
+}
+
+// Batch is what has come in at one time.
+type Batch struct {
+	Now    time.Duration
+	Serial uint64
+	Events []Event
+}
+
+// Reader reads batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	text  []byte
+	long  []byte
+	banks [16]bank
+	arena []byte
+}
+
+type bank struct {
+	set     bool
+	entries []yewwood.Endpoint
+}
+
+// MaxFields is the most values that a load report has.
+const MaxFields = 4
+
+// LoadField is a value of a load report.
+type LoadField uint8
+
+// The values of a load report.
+const (
+	FieldOther LoadField = iota
+	FieldInFlight
+	FieldQueue
+	FieldUtil
+	FieldLatency
+	FieldServed
+	FieldFailed
+)
+
+// NewReader returns a Reader of in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20)}
+}
+
+// Read reads the next batch into b. It returns io.EOF at the end of the input between two batches.
+func (r *Reader) Read(b *Batch) error {
+	b.Events = b.Events[:0]
+	r.arena = r.arena[:0]
+	for {
+		if err := r.next(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return io.EOF
+			}
+			return fmt.Errorf("line %d: %w", r.line, err)
+		}
+		if len(r.text) > 0 {
+			break
+		}
+	}
+	p := parser{rest: r.text}
+	name := p.word()
+	if string(name) != "TICK" {
+		return r.wrong(name, fmt.Errorf("a batch starts with TICK"))
+	}
+	b.Now = time.Duration(p.int())
+	b.Serial = p.uint(64)
+	if err := p.end(); err != nil {
+		return r.wrong(name, err)
+	}
+	for {
+		if err := r.next(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return fmt.Errorf("line %d: batch %d is cut off: no EOB", r.line, b.Serial)
+			}
+			return fmt.Errorf("line %d: %w", r.line, err)
+		}
+		p := parser{rest: r.text}
+		name := p.word()
+		if string(name) == "EOB" {
+			if err := p.end(); err != nil {
+				return r.wrong(name, err)
+			}
+			return nil
+		}
+		if err := r.event(b, name, &p); err != nil {
+			return r.wrong(name, err)
+		}
+	}
+}
+
+func (r *Reader) wrong(name []byte, err error) error {
+	return fmt.Errorf("line %d: %.40q: %w", r.line, name, err)
+}
+
+// next reads a line into r.text, without its end.
+func (r *Reader) next() error {
+	text, err := r.in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		r.long = append(r.long[:0], text...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			text, err = r.in.ReadSlice('\n')
+			r.long = append(r.long, text...)
+		}
+		text = r.long
+	}
+	if errors.Is(err, io.EOF) && len(text) > 0 {
+		r.line++
+		return fmt.Errorf("%.40q: cut off: the line has no end", text)
+	}
+	if err != nil {
+		return err
+	}
+	r.line++
+	r.text = text[:len(text)-1]
+	return nil
+}
+
+func (r *Reader) event(b *Batch, name []byte, p *parser) error {
+	if string(name) == "REGISTER" {
+		return r.register(p)
+	}
+	b.Events = append(b.Events, Event{Line: r.line})
+	e := &b.Events[len(b.Events)-1]
+	e.Instance = p.instance()
+	switch string(name) {
+	case "NEW_INSTANCE":
+		e.Kind = NewInstance
+		e.Seed = p.uint(64)
+		from := len(r.arena)
+		r.arena = append(r.arena, p.text()...)
+		e.Config = r.arena[from:len(r.arena):len(r.arena)]
+	case "POWER_OFF":
+		e.Kind = PowerOff
+	case "ENDPOINTS":
+		e.Kind = Endpoints
+		return r.endpoints(e, p)
+	case "QUERY":
+		e.Kind = Query
+		e.query(p)
+	case "HEAD_RECEIVED":
+		e.Kind = Head
+		e.Request.ID = p.request()
+		e.Outcome.Attempt = p.small()
+		e.Outcome.Elapsed = time.Duration(p.int())
+		e.Outcome.Endpoint = p.endpoint()
+	case "REPLY":
+		e.Kind = Reply
+		e.Request.ID = p.request()
+		e.Outcome.Request = e.Request.ID
+		e.Outcome.Result = p.result()
+		e.Outcome.Closed = p.bool()
+		e.Outcome.Endpoint = p.endpoint()
+		e.Outcome.Attempt = p.small()
+		e.Outcome.Elapsed = time.Duration(p.int())
+		e.readLoad(p)
+	case "ABORTED":
+		e.Kind = Aborted
+		e.Request.ID = p.request()
+	case "RING":
+		e.Kind = Ring
+		e.Timer = p.cookie()
+	case "PROBE_RESULT":
+		e.Kind = ProbeResult
+		e.Outcome.Endpoint = p.endpoint()
+		e.Outcome.Result = p.result()
+		e.Outcome.Elapsed = time.Duration(p.int())
+		e.readLoad(p)
+	case "INBOX":
+		e.Kind = Inbox
+		p.uint(31)
+		p.base64()
+	default:
+		return errors.New("unknown message")
+	}
+	return p.end()
+}
+
+func (e *Event) query(p *parser) {
+	q := &e.Request
+	q.ID = p.request()
+	marks := p.optional(32)
+	q.Tenant = int(p.optional(16))
+	p.optional(53)
+	q.Budget = time.Duration(p.int())
+	q.Class = p.small()
+	hint := p.optional(62)
+	if marks&1 != 0 {
+		q.Work = time.Duration(hint)
+	}
+	q.Repeat = marks&2 != 0
+}
+
+func (r *Reader) endpoints(e *Event, p *parser) error {
+	kind := p.word()
+	p.optional(64)
+	switch string(kind) {
+	case "changes":
+		e.List = yewwood.ListChanges
+	case "all":
+		e.List = yewwood.ListFull
+	case "remembered":
+		e.List = yewwood.ListRemember
+	case "refused":
+		e.List = yewwood.ListRefused
+		p.word()
+		return p.end()
+	default:
+		return fmt.Errorf("unknown kind of list %.40q", kind)
+	}
+	n := p.uint(64)
+	if err := p.end(); err != nil {
+		return err
+	}
+	if n >= uint64(len(r.banks)) || !r.banks[n].set {
+		return fmt.Errorf("no list has the number %d", n)
+	}
+	e.Entries = r.banks[n].entries
+	return nil
+}
+
+// register reads a list. Events read before keep the one that had its number.
+func (r *Reader) register(p *parser) error {
+	n := p.uint(64)
+	count := p.uint(31)
+	if err := p.end(); err != nil {
+		return err
+	}
+	if n >= uint64(len(r.banks)) {
+		return fmt.Errorf("list number %d is not from 0 to %d", n, len(r.banks)-1)
+	}
+	entries := make([]yewwood.Endpoint, 0, min(count, 1<<16))
+	for range count {
+		if err := r.next(); err != nil {
+			return fmt.Errorf("the list is cut off: %w", err)
+		}
+		p := parser{rest: r.text}
+		if name := p.word(); string(name) != "ENTRY" {
+			return fmt.Errorf("the list is cut off by %.40q", name)
+		}
+		var e yewwood.Endpoint
+		e.ID = p.endpoint()
+		e.Zone = int(p.optional(31))
+		p.optional(31)
+		e.Cell = int(p.optional(31))
+		e.State = p.state()
+		e.Weight = p.float(1)
+		e.Started = time.Duration(p.optional(63))
+		if err := p.end(); err != nil {
+			return fmt.Errorf("ENTRY: %w", err)
+		}
+		entries = append(entries, e)
+	}
+	r.banks[n] = bank{set: true, entries: entries}
+	return nil
+}
+
+// readLoad takes the report at the end of a line. What its values mean is in the instance's settings.
+func (e *Event) readLoad(p *parser) {
+	e.values = -1
+	row := p.word()
+	if string(row) == "-" || p.err != nil {
+		return
+	}
+	for e.values = 0; len(row) > 0; e.values++ {
+		part, rest, _ := bytes.Cut(row, []byte{','})
+		row = rest
+		if e.values == MaxFields {
+			p.fail("a load report of over %d values", MaxFields)
+			return
+		}
+		v := -1.0
+		if string(part) != "-" {
+			var err error
+			if v, err = strconv.ParseFloat(string(part), 64); err != nil {
+				p.fail("bad number %.40q in a load report", part)
+				return
+			}
+		}
+		e.report[e.values] = v
+	}
+}
+
+// Load returns the report of a Reply or ProbeResult whose values are these fields, or nil if it has none.
+// It is valid as long as the event.
+func (e *Event) Load(fields []LoadField) (*yewwood.Load, error) {
+	if e.values < 0 {
+		return nil, nil
+	}
+	if e.values != len(fields) {
+		return nil, fmt.Errorf("a load report of %d values, not %d", e.values, len(fields))
+	}
+	e.load = yewwood.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
+	for i, f := range fields {
+		switch v := e.report[i]; f {
+		case FieldInFlight:
+			e.load.InFlight = v
+		case FieldQueue:
+			e.load.Queue = v
+		case FieldUtil:
+			e.load.Util = v
+		case FieldLatency:
+			e.load.LatencyMS = v
+		case FieldServed:
+			e.load.Served = v
+		case FieldFailed:
+			e.load.Failed = v
+		}
+	}
+	return &e.load, nil
+}
+
+// AppendAction appends the line of an action.
+func AppendAction(dst []byte, instance uint32, a *yewwood.Action) []byte {
+	line := func(name string) {
+		dst = append(dst, name...)
+		dst = append(dst, " sidecar_"...)
+		dst = strconv.AppendUint(dst, uint64(instance), 10)
+	}
+	num := func(n int64) {
+		dst = append(dst, ' ')
+		dst = strconv.AppendInt(dst, n, 10)
+	}
+	request := func() {
+		dst = append(dst, ' ')
+		dst = appendHex(dst, uint64(a.Request))
+	}
+	switch a.Kind {
+	case yewwood.Send:
+		line("TRY")
+		request()
+		num(int64(a.Endpoint))
+		num(int64(a.Until))
+	case yewwood.Cancel:
+		line("WITHDRAW")
+		request()
+		num(int64(a.Attempt))
+	case yewwood.Shed:
+		line("SHED")
+		request()
+		num(int64(a.Delay))
+	case yewwood.Fail:
+		line("RESPOND_ERROR")
+		request()
+	case yewwood.SetTimer:
+		line("AFTER")
+		dst = append(dst, ' ')
+		dst = strconv.AppendUint(dst, uint64(a.Timer.Kind), 10)
+		dst = append(dst, '.')
+		dst = appendHex(dst, a.Timer.Ref)
+		num(int64(a.Delay))
+	case yewwood.Probe:
+		line("TEST")
+		num(int64(a.Endpoint))
+	case yewwood.Release:
+		line("RELEASE")
+		num(int64(a.Endpoint))
+	case yewwood.Subscribe:
+		line("STREAM_CHANGES")
+		num(1)
+	}
+	return append(dst, '\n')
+}
+
+// AppendPanic appends the line that reports a failure of the decision code.
+func AppendPanic(dst []byte, instance uint32, text string) []byte {
+	dst = append(dst, "PANIC sidecar_"...)
+	dst = strconv.AppendUint(dst, uint64(instance), 10)
+	dst = append(dst, ' ')
+	for _, c := range []byte(text) {
+		if c < ' ' {
+			c = ' '
+		}
+		dst = append(dst, c)
+	}
+	return append(dst, '\n')
+}
+
+// AppendEnd appends the line that ends a reply.
+func AppendEnd(dst []byte, serial uint64) []byte {
+	dst = append(dst, "END "...)
+	dst = strconv.AppendUint(dst, serial, 10)
+	return append(dst, '\n')
+}
+
+func appendHex(dst []byte, n uint64) []byte {
+	for shift := 60; shift >= 0; shift -= 4 {
+		dst = append(dst, "0123456789abcdef"[n>>shift&15])
+	}
+	return dst
+}
--- /dev/null
+++ b/limits_test.go
@@ -0,0 +1,27 @@
+package yewwood
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// The module is to be ported by hand: it must stay short.
+func TestModuleStaysShort(t *testing.T) {
+	text, err := os.ReadFile("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			lines++
+		}
+		if n := len(strings.ReplaceAll(line, "\t", "    ")); n > 110 {
+			t.Errorf("balancer.go:%d has %d characters, want at most 110", i+1, n)
+		}
+	}
+	if lines > 910 {
+		t.Errorf("balancer.go has %d lines that are not blank, want at most 910", lines)
+	}
+}
