--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,259 @@
+package sidecar
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"yewwood.example/yewwood"
+)
+
+const (
+	// watchGap is the least time between two calls. An agent that answers at
+	// once must not be asked in a busy loop, and a watch goes on only if the next
+	// call comes within 200 ms of the last answer.
+	watchGap = 100 * time.Millisecond
+
+	// pushWait and askWait are how long a watch may wait for news: an agent on
+	// this machine is asked often, as it may fall silent; a shared service is not.
+	pushWait, askWait = 2 * time.Second, 20 * time.Second
+
+	// answerTime is how long an answer may take beyond that.
+	answerTime = 2 * time.Second
+
+	maxList = 16 << 20 // the most bytes of a list
+)
+
+// listing is a list of endpoints in discovery's form.
+type listing struct {
+	Generation uint64     `json:"generation"`
+	Reset      bool       `json:"reset"` // the whole list, not changes
+	Instances  []instance `json:"instances"`
+}
+
+type instance struct {
+	ID        string   `json:"instanceId"`
+	HostPort  string   `json:"hostPort"`
+	Zone      string   `json:"zone"`
+	Cell      int      `json:"cell"`
+	Lifecycle string   `json:"lifecycle"`
+	Weight    *float64 `json:"weight"`
+	StartedMS int64    `json:"startedAtMs"`
+}
+
+// The lifecycles of an instance.
+var states = map[string]yewwood.State{
+	"up": yewwood.InService, "draining": yewwood.Draining, "removed": yewwood.Gone,
+}
+
+// check returns an error for the first entry that can't be used.
+func (l *listing) check() error {
+	for i := range l.Instances {
+		in := &l.Instances[i]
+		if in.ID == "" {
+			return fmt.Errorf("instances[%d].instanceId: empty", i)
+		}
+		state, ok := states[in.Lifecycle]
+		if !ok {
+			return fmt.Errorf("instance %q: lifecycle: unknown value %q", in.ID, in.Lifecycle)
+		}
+		if err := checkAddress(in.HostPort); err != nil && state != yewwood.Gone {
+			return fmt.Errorf("instance %q: hostPort: %w", in.ID, err)
+		}
+		if in.Weight != nil && *in.Weight < 0 {
+			return fmt.Errorf("instance %q: weight: negative", in.ID)
+		}
+		if in.StartedMS < 0 || in.StartedMS > int64(1<<62)/1e6 {
+			return fmt.Errorf("instance %q: startedAtMs: out of range", in.ID)
+		}
+	}
+	return nil
+}
+
+// names gives instances and zones the numbers by which the module knows them.
+type names struct {
+	ids   map[string]yewwood.EndpointID
+	taken map[yewwood.EndpointID]bool
+	zones map[string]int
+}
+
+func newNames(zones []string) *names {
+	n := &names{
+		ids:   make(map[string]yewwood.EndpointID),
+		taken: make(map[yewwood.EndpointID]bool),
+		zones: make(map[string]int),
+	}
+	for i, z := range zones {
+		n.zones[z] = i
+	}
+	return n
+}
+
+// id hashes an instance's name, so that every sidecar has the same number for
+// it, also after a restart. A name whose number is taken is hashed again.
+func (n *names) id(name string) yewwood.EndpointID {
+	if id, ok := n.ids[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	for {
+		io.WriteString(h, name)
+		if id := yewwood.EndpointID(h.Sum32()); !n.taken[id] {
+			n.ids[name], n.taken[id] = id, true
+			return id
+		}
+	}
+}
+
+// zone returns a zone's index. One that the settings don't name is a zone of its own.
+func (n *names) zone(name string) int {
+	z, ok := n.zones[name]
+	if !ok {
+		z = len(n.zones)
+		n.zones[name] = z
+	}
+	return z
+}
+
+// entry is one endpoint of a list and its address.
+type entry struct {
+	yewwood.Endpoint
+	addr string
+}
+
+// entries translates a list that has passed its check. It goes by name, so that
+// two names with one hash get the same numbers at every sidecar. The module's
+// clock reads Unix time, see Engine.
+func (n *names) entries(l *listing) []entry {
+	list := slices.Clone(l.Instances)
+	slices.SortStableFunc(list, func(x, y instance) int { return cmp.Compare(x.ID, y.ID) })
+	out := make([]entry, len(list))
+	for i, in := range list {
+		weight := 1.0
+		if in.Weight != nil {
+			weight = *in.Weight
+		}
+		out[i] = entry{addr: in.HostPort, Endpoint: yewwood.Endpoint{
+			ID: n.id(in.ID), Zone: n.zone(in.Zone), Cell: in.Cell, State: states[in.Lifecycle],
+			Weight: weight, Started: time.Duration(in.StartedMS) * time.Millisecond,
+		}}
+	}
+	return out
+}
+
+// Discovery keeps the engine's list of endpoints up to date.
+type Discovery struct {
+	addr       string
+	asks       bool // the module asks for the list; else it is pushed
+	wait       time.Duration
+	engine     *Engine
+	client     *http.Client
+	generation uint64
+}
+
+// NewDiscovery returns the Discovery of an engine.
+func NewDiscovery(c *Config, e *Engine) *Discovery {
+	d := &Discovery{
+		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, engine: e,
+		client:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+		generation: c.known.Generation,
+	}
+	if d.asks {
+		d.wait = askWait
+	}
+	return d
+}
+
+// Run follows the list until ctx ends.
+func (d *Discovery) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if d.asks {
+			select {
+			case <-d.engine.subscribed:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err := d.watch(ctx); err != nil && ctx.Err() == nil {
+			slog.Warn("discovery", "err", err)
+			if d.asks {
+				d.engine.refused()
+			}
+			pause(ctx, watchGap)
+		}
+	}
+}
+
+// watch asks for news until a call fails.
+func (d *Discovery) watch(ctx context.Context) error {
+	for {
+		asked := time.Now()
+		l, err := d.ask(ctx)
+		if err != nil {
+			return err
+		}
+		d.generation = l.Generation
+		if d.asks || l.Reset || len(l.Instances) > 0 {
+			d.engine.list(l)
+		}
+		pause(ctx, watchGap-time.Since(asked))
+	}
+}
+
+// ask makes one call.
+func (d *Discovery) ask(ctx context.Context) (*listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.wait+answerTime)
+	defer cancel()
+	query := url.Values{}
+	if d.generation > 0 {
+		query.Set("index", strconv.FormatUint(d.generation, 10))
+		query.Set("wait", strconv.FormatInt(d.wait.Milliseconds(), 10))
+	}
+	u := url.URL{Scheme: "http", Host: d.addr, Path: "/v1/servers", RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("list: %w", err)
+	case resp.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("list: %s", resp.Status)
+	case len(text) > maxList:
+		return nil, errors.New("list: too long")
+	}
+	l := new(listing)
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if err := l.check(); err != nil {
+		return nil, fmt.Errorf("list %d: %w", l.Generation, err)
+	}
+	return l, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/sidecar/engine.go
@@ -0,0 +1,316 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"yewwood.example/yewwood"
+)
+
+// Engine owns the balancer. Every event goes to it under one lock, and its
+// actions are started there in their order; none waits for I/O.
+type Engine struct {
+	origin     time.Time // of the module's clock, which read epoch then
+	epoch      time.Duration
+	up         *upstream
+	probePath  string
+	subscribed chan struct{} // the module wants a watch
+
+	mu        sync.Mutex
+	balancer  *yewwood.Balancer
+	names     *names
+	endpoints map[yewwood.EndpointID]*endpoint
+	calls     map[yewwood.RequestID]*call
+	last      yewwood.RequestID
+	actions   []yewwood.Action
+}
+
+// endpoint is where an endpoint is reached.
+type endpoint struct {
+	addr      string
+	left      bool // it drains or is gone
+	transport *http.Transport
+}
+
+// call is a caller's request, until its last attempt has ended.
+type call struct {
+	yewwood.Request
+	method   string
+	url      *url.URL
+	host     string
+	header   http.Header
+	body     []byte
+	done     chan final // takes the final answer
+	answered bool
+	attempts []*attempt
+	out      int
+}
+
+// final is a final answer.
+type final struct {
+	served     bool
+	refused    bool
+	retryAfter time.Duration
+	answer
+}
+
+// attempt is one sending of a call.
+type attempt struct {
+	exchange
+	cancel   context.CancelCauseFunc
+	endpoint yewwood.EndpointID
+	began    time.Time
+}
+
+// end withdraws an attempt. If it has not begun to go out, it never will.
+func (a *attempt) end(cause error) {
+	a.bar()
+	a.cancel(cause)
+}
+
+// NewEngine returns an Engine that knows the list in its configuration.
+func NewEngine(c *Config) (*Engine, error) {
+	b, err := yewwood.New(c.Module, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		origin: time.Now(), up: newUpstream(c), probePath: "/load",
+		subscribed: make(chan struct{}, 1),
+		balancer:   b, names: newNames(c.zones),
+		endpoints: make(map[yewwood.EndpointID]*endpoint),
+		calls:     make(map[yewwood.RequestID]*call),
+	}
+	// The module's clock goes on from Unix time without steps, so that the time an
+	// endpoint started needs no conversion and is the same in every list.
+	e.epoch = time.Duration(e.origin.UnixNano())
+	e.up.closeIdle = e.closeIdle
+	if c.Module.Reporting == yewwood.ReportsNone {
+		e.probePath = "/healthz"
+	}
+	e.update(yewwood.ListRemember, &c.known)
+	return e, nil
+}
+
+// now is the time on the module's clock.
+func (e *Engine) now() time.Duration { return e.epoch + time.Since(e.origin) }
+
+// at is a time of the module's clock.
+func (e *Engine) at(t time.Duration) time.Time { return e.origin.Add(t - e.epoch) }
+
+// event gives the balancer an event and starts its actions.
+func (e *Engine) event(f func(now time.Duration, acts []yewwood.Action) []yewwood.Action) {
+	e.actions = f(e.now(), e.actions[:0])
+	for i := range e.actions {
+		e.act(&e.actions[i])
+	}
+}
+
+func (e *Engine) act(a *yewwood.Action) {
+	switch a.Kind {
+	case yewwood.Send:
+		e.send(a)
+	case yewwood.Cancel:
+		if c := e.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
+			c.attempts[a.Attempt].end(errCanceled)
+		}
+	case yewwood.Shed:
+		e.answer(e.calls[a.Request], final{refused: true, retryAfter: a.Delay})
+	case yewwood.Fail:
+		e.answer(e.calls[a.Request], final{})
+	case yewwood.SetTimer:
+		timer := a.Timer
+		time.AfterFunc(a.Delay, func() { e.fired(timer) })
+	case yewwood.Probe:
+		go e.probe(a.Endpoint)
+	case yewwood.Release:
+		if to := e.endpoints[a.Endpoint]; to != nil {
+			to.transport.CloseIdleConnections()
+		}
+	case yewwood.Subscribe:
+		select {
+		case e.subscribed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// answer gives a call its final answer, unless it has one.
+func (e *Engine) answer(c *call, f final) {
+	if c == nil || c.answered {
+		return
+	}
+	c.answered = true
+	c.done <- f
+	e.forget(c)
+}
+
+// forget drops a call that nothing more can come of.
+func (e *Engine) forget(c *call) {
+	if c.answered && c.out == 0 {
+		delete(e.calls, c.ID)
+	}
+}
+
+// Serve hands a call to the balancer and waits for its final answer. If ctx ends
+// first, the caller has gone or its time is up: the call has failed.
+func (e *Engine) serve(ctx context.Context, c *call) final {
+	c.done = make(chan final, 1)
+	e.mu.Lock()
+	e.last++
+	c.ID = e.last
+	e.calls[c.ID] = c
+	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		return e.balancer.Request(now, c.Request, acts)
+	})
+	e.mu.Unlock()
+	select {
+	case f := <-c.done:
+		return f
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !c.answered {
+		e.answer(c, final{})
+		e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+			return e.balancer.Abandoned(now, c.ID, acts)
+		})
+	}
+	return <-c.done
+}
+
+// send starts an attempt.
+func (e *Engine) send(a *yewwood.Action) {
+	c, to := e.calls[a.Request], e.endpoints[a.Endpoint]
+	if c == nil || to == nil {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	n := len(c.attempts)
+	x := &attempt{endpoint: a.Endpoint, began: time.Now(), cancel: cancel}
+	until := e.at(a.Until)
+	c.attempts = append(c.attempts, x)
+	c.out++
+	u := *c.url
+	u.Scheme, u.Host = "http", to.addr
+	req := &http.Request{Method: c.method, URL: &u, Host: c.host, Header: c.header.Clone()}
+	if c.answered || to.left {
+		x.end(errLeft)
+	}
+	t := to.transport
+	go func() {
+		defer cancel(nil)
+		var stop context.CancelFunc
+		x.ctx, stop = context.WithDeadlineCause(ctx, until, errDeadline)
+		defer stop()
+		req.Header.Set("X-Timeout", formatTimeout(time.Until(until)))
+		e.ended(c, n, x.do(t, req, c.body))
+	}()
+}
+
+// ended takes what came of an attempt. The first OK is the call's answer.
+func (e *Engine) ended(c *call, n int, a answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x := c.attempts[n]
+	c.out--
+	if a.result == yewwood.OK {
+		e.answer(c, final{served: true, answer: a})
+	}
+	o := yewwood.Outcome{
+		Request: c.ID, Attempt: n, Endpoint: x.endpoint, Result: a.result, Closed: c.answered,
+		Elapsed: time.Since(x.began), Load: a.load,
+	}
+	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		return e.balancer.Ended(now, o, acts)
+	})
+	e.forget(c)
+}
+
+func (e *Engine) fired(t yewwood.Timer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		return e.balancer.Fired(now, t, acts)
+	})
+}
+
+// probe carries out a probe.
+func (e *Engine) probe(id yewwood.EndpointID) {
+	e.mu.Lock()
+	to := e.endpoints[id]
+	t, addr := to.transport, to.addr
+	e.mu.Unlock()
+	a := e.up.probe(t, addr, e.probePath)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		return e.balancer.Probed(now, id, a.result, a.load, acts)
+	})
+}
+
+// list takes a list from discovery.
+func (e *Engine) list(l *listing) {
+	kind := yewwood.ListChanges
+	if l.Reset {
+		kind = yewwood.ListFull
+	}
+	e.update(kind, l)
+}
+
+// refused tells the balancer that a call to discovery has failed.
+func (e *Engine) refused() { e.update(yewwood.ListRefused, &listing{}) }
+
+func (e *Engine) update(kind yewwood.ListKind, l *listing) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if kind == yewwood.ListFull || kind == yewwood.ListRemember {
+		for _, to := range e.endpoints {
+			to.left = true
+		}
+	}
+	entries := e.names.entries(l)
+	list := make([]yewwood.Endpoint, len(entries))
+	for i, in := range entries {
+		list[i] = in.Endpoint
+		to := e.endpoints[in.ID]
+		if to == nil {
+			to = &endpoint{transport: e.up.transport()}
+			e.endpoints[in.ID] = to
+		}
+		if in.addr != "" && in.addr != to.addr {
+			to.transport.CloseIdleConnections()
+			to.addr = in.addr
+		}
+		to.left = in.State != yewwood.InService
+	}
+	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		return e.balancer.Endpoints(now, kind, list, acts)
+	})
+	// What waits for a connection to an endpoint that has left must not go out once it has one.
+	for _, c := range e.calls {
+		for _, x := range c.attempts {
+			if e.endpoints[x.endpoint].left && x.bar() {
+				x.cancel(errLeft)
+			}
+		}
+	}
+}
+
+// closeIdle closes the idle connections to all endpoints.
+func (e *Engine) closeIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, to := range e.endpoints {
+		to.transport.CloseIdleConnections()
+	}
+}
+
+func formatTimeout(d time.Duration) string {
+	return strconv.FormatInt(max(d.Microseconds(), 1), 10) + "u"
+}
--- /dev/null
+++ b/internal/sidecar/server.go
@@ -0,0 +1,203 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	maxHeader = 16 << 10
+	maxID     = 256
+
+	// readTime is how long a caller may take over a request's header, and over its body.
+	readTime = 5 * time.Second
+
+	callerIdle = 2 * time.Minute // how long a caller's connection may stand idle
+
+	// answerMargin is what is kept of a caller's time for the answer's way back
+	// and for the scheduler.
+	answerMargin = 10 * time.Millisecond
+
+	// lingerTime is how long connections go on coming after SIGTERM, with some to spare.
+	lingerTime = 500 * time.Millisecond
+
+	// shutdownSpare is the time beyond the longest deadline after which nothing is waited for.
+	shutdownSpare = 200 * time.Millisecond
+)
+
+// Server takes the callers' requests.
+type Server struct {
+	cfg      *Config
+	engine   *Engine
+	http     http.Server
+	draining atomic.Bool
+}
+
+// NewServer returns a Server that hands its requests to an engine.
+func NewServer(c *Config, e *Engine) *Server {
+	s := &Server{cfg: c, engine: e}
+	s.http = http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/healthz" {
+				s.health(w, r)
+				return
+			}
+			s.call(w, r)
+		}),
+		ReadHeaderTimeout: readTime,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeader,
+	}
+	return s
+}
+
+// Serve serves until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown steers callers off, goes on accepting for a while, and returns when all
+// that was taken has its answer.
+func (s *Server) Shutdown() error {
+	s.draining.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+	time.Sleep(lingerTime)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.longestDeadline()+shutdownSpare)
+	defer cancel()
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// call serves one request.
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	c, err := s.parse(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(came.Add(readTime))
+	c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		status := http.StatusBadRequest
+		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	control.SetReadDeadline(time.Time{})
+
+	ctx, cancel := context.WithDeadline(r.Context(), came.Add(c.Budget))
+	defer cancel()
+	c.Budget -= min(answerMargin, c.Budget/10) + time.Since(came)
+	writeFinal(w, s.engine.serve(ctx, c))
+}
+
+// writeFinal writes a final answer. Only a refusal is worded 503: it tells the
+// caller that trying again does no harm.
+func writeFinal(w http.ResponseWriter, f final) {
+	switch {
+	case f.served:
+		if f.contentType != "" {
+			w.Header().Set("Content-Type", f.contentType)
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
+		w.Write(f.body)
+	case f.refused:
+		if f.retryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+		}
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "failed", http.StatusBadGateway)
+	}
+}
+
+// hopHeaders concern one connection only, and are not sent on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// parse reads a request's header. An error names the field at fault.
+func (s *Server) parse(r *http.Request) (*call, error) {
+	c := &call{method: r.Method, url: r.URL, host: r.Host, header: r.Header.Clone()}
+	for _, named := range r.Header.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			c.header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		c.header.Del(name)
+	}
+	if id := r.Header.Get("X-Request-ID"); id == "" || len(id) > maxID {
+		return nil, errors.New("X-Request-ID: missing or too long")
+	}
+	var ok bool
+	class := r.Header.Get("X-Priority-Class")
+	if c.Class, ok = s.cfg.classes[class]; !ok {
+		return nil, fmt.Errorf("X-Priority-Class: unknown class %.40q", class)
+	}
+	if tenant := r.Header.Get("X-Tenant-Id"); tenant != "" && len(s.cfg.tenants) > 0 {
+		if c.Tenant, ok = s.cfg.tenants[tenant]; !ok {
+			return nil, fmt.Errorf("X-Tenant-Id: unknown tenant %.40q", tenant)
+		}
+	}
+	c.Budget = s.cfg.Module.Classes[c.Class].Deadline
+	if text := r.Header.Get("X-Timeout"); text != "" {
+		if c.Budget, ok = parseTimeout(text); !ok {
+			return nil, fmt.Errorf("X-Timeout: bad value %.40q", text)
+		}
+	}
+	if text := r.Header.Get("X-Cost"); text != "" {
+		us, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(us >= 0 && us < maxTimeout.Seconds()*1e6) {
+			return nil, fmt.Errorf("X-Cost: bad value %.40q", text)
+		}
+		c.Work = time.Duration(us * float64(time.Microsecond))
+	}
+	c.Repeat = r.Header.Get("X-Retried") == "1"
+	return c, nil
+}
+
+// maxTimeout bounds what a caller may ask for.
+const maxTimeout = time.Hour
+
+// parseTimeout reads a number with the unit m (milliseconds) or u (microseconds).
+func parseTimeout(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		unit = time.Microsecond
+		if number, ok = strings.CutSuffix(text, "u"); !ok {
+			return 0, false
+		}
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	d := v * float64(unit)
+	if err != nil || math.IsNaN(d) || d < 1 || d > float64(maxTimeout) {
+		return 0, false
+	}
+	return time.Duration(d), true
+}
