Ask discovery with the version of the list at hand, also when it is 0

Ruled out: the agent not holding watches. Cause: Discovery.ask left out index and wait while the version was 0, which is a version like any other.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -56,6 +56,8 @@
 	"up": yewwood.InService, "draining": yewwood.Draining, "removed": yewwood.Gone,
 }
 
+func (l *listing) index() string { return strconv.FormatUint(l.Generation, 10) }
+
 // check returns an error for the first entry that can't be used.
 func (l *listing) check() error {
 	for i := range l.Instances {
@@ -153,20 +155,22 @@
 
 // Discovery keeps the engine's list of endpoints up to date.
 type Discovery struct {
-	addr       string
-	asks       bool // the module asks for the list; else it is pushed
-	wait       time.Duration
-	engine     *Engine
-	client     *http.Client
-	generation uint64
+	addr   string
+	asks   bool // the module asks for the list; else it is pushed
+	wait   time.Duration
+	engine *Engine
+	client *http.Client
+	index  string // the version of the list at hand; empty for none
 }
 
 // NewDiscovery returns the Discovery of an engine.
 func NewDiscovery(c *Config, e *Engine) *Discovery {
 	d := &Discovery{
 		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, engine: e,
-		client:     &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
-		generation: c.known.Generation,
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+	}
+	if len(c.known.Instances) > 0 {
+		d.index = c.known.index()
 	}
 	if d.asks {
 		d.wait = askWait
@@ -202,7 +206,7 @@
 		if err != nil {
 			return err
 		}
-		d.generation = l.Generation
+		d.index = l.index()
 		if d.asks || l.Reset || len(l.Instances) > 0 {
 			d.engine.list(l)
 		}
@@ -215,8 +219,8 @@
 	ctx, cancel := context.WithTimeout(ctx, d.wait+answerTime)
 	defer cancel()
 	query := url.Values{}
-	if d.generation > 0 {
-		query.Set("index", strconv.FormatUint(d.generation, 10))
+	if d.index != "" { // "0" is a version too: taken for none, it had every call answered with the whole list
+		query.Set("index", d.index)
 		query.Set("wait", strconv.FormatInt(d.wait.Milliseconds(), 10))
 	}
 	u := url.URL{Scheme: "http", Host: d.addr, Path: "/v1/servers", RawQuery: query.Encode()}
