Bound connections, tighten input, and tell barred attempts from sent ones

Seen in a test over loopback: an attempt barred before its first byte came back as Reset (Timeout when its endpoint had left), so an unsafe request could not go on elsewhere. Ruled out: the gate itself, nothing went out. Cause: exchange.sent() trusted the Transport, which calls a request written once it is buffered. It now goes by the state of the gate, and a hidden re-send that was kept back still counts as sent.

Tests for each point run on loopback sockets.

--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -54,6 +54,7 @@
 	case err := <-served:
 		return err
 	case <-ctx.Done():
-		return server.Shutdown()
+		server.Shutdown()
+		return nil
 	}
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -24,12 +24,11 @@
 	// call comes within 200 ms of the last answer.
 	watchGap = 100 * time.Millisecond
 
-	// pushWait and askWait are how long a watch may wait for news: an agent on
-	// this machine is asked often, as it may fall silent; a shared service is not.
-	pushWait, askWait = 2 * time.Second, 20 * time.Second
-
-	// answerTime is how long an answer may take beyond that.
-	answerTime = 2 * time.Second
+	// A watch may wait so long for news, and its answer may take so long beyond
+	// that. An agent on this machine may fall silent and leave a call unanswered
+	// after it has news again, so it is asked well within a drain's grace.
+	pushWait, pushAnswer = 200 * time.Millisecond, 200 * time.Millisecond
+	askWait, askAnswer   = 20 * time.Second, 2 * time.Second
 
 	maxList = 16 << 20 // the most bytes of a list
 )
@@ -155,25 +154,26 @@
 
 // Discovery keeps the engine's list of endpoints up to date.
 type Discovery struct {
-	addr   string
-	asks   bool // the module asks for the list; else it is pushed
-	wait   time.Duration
-	engine *Engine
-	client *http.Client
-	index  string // the version of the list at hand; empty for none
+	addr       string
+	asks       bool          // the module asks for the list; else it is pushed
+	wait, late time.Duration // how long a call may wait, and its answer take beyond
+	engine     *Engine
+	client     *http.Client
+	failed     bool   // the last call did
+	index      string // the version of the list at hand; empty for none
 }
 
 // NewDiscovery returns the Discovery of an engine.
 func NewDiscovery(c *Config, e *Engine) *Discovery {
 	d := &Discovery{
-		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, engine: e,
+		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, late: pushAnswer, engine: e,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
 	}
 	if len(c.known.Instances) > 0 {
 		d.index = c.known.index()
 	}
 	if d.asks {
-		d.wait = askWait
+		d.wait, d.late = askWait, askAnswer
 	}
 	return d
 }
@@ -189,7 +189,10 @@
 			}
 		}
 		if err := d.watch(ctx); err != nil && ctx.Err() == nil {
-			slog.Warn("discovery", "err", err)
+			if !d.failed { // an outage is one line of the log, not one for each call
+				slog.Warn("discovery: keeping the list at hand", "err", err)
+			}
+			d.failed = true
 			if d.asks {
 				d.engine.refused()
 			}
@@ -206,7 +209,10 @@
 		if err != nil {
 			return err
 		}
-		d.index = l.index()
+		if d.failed {
+			slog.Info("discovery: back", "generation", l.Generation)
+		}
+		d.failed, d.index = false, l.index()
 		if d.asks || l.Reset || len(l.Instances) > 0 {
 			d.engine.list(l)
 		}
@@ -216,7 +222,7 @@
 
 // ask makes one call.
 func (d *Discovery) ask(ctx context.Context) (*listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.wait+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, d.wait+d.late)
 	defer cancel()
 	query := url.Values{}
 	if d.index != "" { // "0" is a version too: taken for none, it had every call answered with the whole list
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,13 +5,19 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/net/netutil"
+
+	"yewwood.example/yewwood"
 )
 
 const (
@@ -21,6 +27,9 @@
 	// readTime is how long a caller may take over a request's header, and over its body.
 	readTime = 5 * time.Second
 
+	// writeTime is how long a caller may take to read an answer.
+	writeTime = 5 * time.Second
+
 	callerIdle = 2 * time.Minute // how long a caller's connection may stand idle
 
 	// answerMargin is what is kept of a caller's time for the answer's way back
@@ -39,12 +48,17 @@
 	cfg      *Config
 	engine   *Engine
 	http     http.Server
+	most     int // connections
 	draining atomic.Bool
+
+	mu   sync.Mutex
+	open int
+	idle map[net.Conn]time.Time // since when
 }
 
 // NewServer returns a Server that hands its requests to an engine.
 func NewServer(c *Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e}
+	s := &Server{cfg: c, engine: e, most: c.connections(), idle: make(map[net.Conn]time.Time)}
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/healthz" {
@@ -56,27 +70,59 @@
 		ReadHeaderTimeout: readTime,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         s.connState,
 	}
 	return s
 }
 
 // Serve serves until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(netutil.LimitListener(l, s.most)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// connState keeps a place free for new connections: idle ones would fill all, and
+// a request on one that waits to be accepted would get no answer.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.idle, c)
+	switch state {
+	case http.StateNew:
+		s.open++
+	case http.StateIdle:
+		s.idle[c] = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	}
+	if s.open < s.most {
+		return
+	}
+	var oldest net.Conn
+	for c, since := range s.idle {
+		if oldest == nil || since.Before(s.idle[oldest]) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(s.idle, oldest)
+		oldest.Close()
+	}
+}
+
 // Shutdown steers callers off, goes on accepting for a while, and returns when all
 // that was taken has its answer.
-func (s *Server) Shutdown() error {
+func (s *Server) Shutdown() {
 	s.draining.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	time.Sleep(lingerTime)
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.longestDeadline()+shutdownSpare)
 	defer cancel()
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); err != nil { // a caller that sent no whole request is owed nothing
+		slog.Warn("shutdown: connections left", "err", err)
+	}
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
@@ -111,7 +157,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), came.Add(c.Budget))
 	defer cancel()
 	c.Budget -= min(answerMargin, c.Budget/10) + time.Since(came)
-	writeFinal(w, s.engine.serve(ctx, c))
+	f := s.engine.serve(ctx, c)
+	control.SetWriteDeadline(time.Now().Add(writeTime))
+	writeFinal(w, f)
 }
 
 // writeFinal writes a final answer. Only a refusal is worded 503: it tells the
@@ -151,6 +199,9 @@
 	for _, name := range hopHeaders {
 		c.header.Del(name)
 	}
+	if r.Method != http.MethodGet && r.Method != http.MethodPost {
+		return nil, fmt.Errorf("method %.20q: neither GET nor POST", r.Method)
+	}
 	if id := r.Header.Get("X-Request-ID"); id == "" || len(id) > maxID {
 		return nil, errors.New("X-Request-ID: missing or too long")
 	}
@@ -159,6 +210,10 @@
 	if c.Class, ok = s.cfg.classes[class]; !ok {
 		return nil, fmt.Errorf("X-Priority-Class: unknown class %.40q", class)
 	}
+	// A keyed request without its key would be sent again to endpoints that can't tell it for a repeat.
+	if s.cfg.Module.Classes[c.Class].Semantics == yewwood.Keyed && r.Header.Get("Idempotency-Key") == "" {
+		return nil, fmt.Errorf("Idempotency-Key: missing for class %q", class)
+	}
 	if tenant := r.Header.Get("X-Tenant-Id"); tenant != "" && len(s.cfg.tenants) > 0 {
 		if c.Tenant, ok = s.cfg.tenants[tenant]; !ok {
 			return nil, fmt.Errorf("X-Tenant-Id: unknown tenant %.40q", tenant)
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,549 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yewwood.example/yewwood"
+)
+
+// patience is how long a test waits for what must happen: no verdict leans on it being short.
+const patience = 20 * time.Second
+
+// testSettings has a class of each kind. Reports come in answers only, so that no
+// probe is needed before a request goes out.
+const testSettings = `{"balancers": 1, "me": 0, "tier": 0, "zone": 0, "zones": ["a", "b"],
+"classes": [
+ {"name": "read", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "safe"},
+ {"name": "book", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "keyed",
+  "keyScope": "all", "repeatWindowNs": 30000000000},
+ {"name": "pay", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "unsafe"}],
+"tenants": [{"name": "acme", "share": 1, "quotaPerS": 0}],
+"limits": {"attemptsCap": 3, "cancel": true, "secondCopies": true, "connectTimeoutNs": 5000000000, "keepaliveNs": 60000000000},
+"loadInfo": {"fields": ["busy_reqs"], "how": "piggyback"},
+"rules": {"drainGraceNs": 500000000}, "discovery": "push", "stepNs": 1000000}`
+
+// up lists endpoints at these addresses, in service.
+func up(addrs ...string) listing {
+	l := listing{Generation: 1, Reset: true}
+	for i, addr := range addrs {
+		l.Instances = append(l.Instances, instance{ID: fmt.Sprintf("s-%d", i), HostPort: addr, Zone: "a", Lifecycle: "up"})
+	}
+	return l
+}
+
+func testConfig(t *testing.T, known listing) *Config {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+		"known": known, "settings": json.RawMessage(testSettings),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// proxy is a sidecar under test.
+type proxy struct {
+	t      *testing.T
+	url    string
+	engine *Engine
+	server *Server
+	served chan error
+}
+
+func start(t *testing.T, c *Config) *proxy {
+	t.Helper()
+	e, err := NewEngine(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{t: t, url: "http://" + l.Addr().String(), engine: e, server: NewServer(c, e), served: make(chan error, 1)}
+	go func() { p.served <- p.server.Serve(l) }()
+	t.Cleanup(func() { p.server.http.Close() })
+	return p
+}
+
+// newRequest returns a request as a client sends it.
+func newRequest(ctx context.Context, t *testing.T, url, class, body string) *http.Request {
+	t.Helper()
+	method := http.MethodPost
+	if class == "read" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url+"/api/a%2Fb?x=1", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{
+		"X-Request-ID": "9b1f03aa5c7e2d41", "X-Priority-Class": class, "X-Tenant-Id": "acme", "X-Timeout": "20000m",
+	} {
+		req.Header.Set(name, value)
+	}
+	if class == "book" {
+		req.Header.Set("Idempotency-Key", "5c0f")
+	}
+	return req
+}
+
+// send sends a request and returns what came back.
+func (p *proxy) send(req *http.Request) (*http.Response, string) {
+	p.t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func (p *proxy) request(class, body string) *http.Request {
+	return newRequest(context.Background(), p.t, p.url, class, body)
+}
+
+// backend serves one endpoint by a handler.
+func backend(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// raw serves each connection of an endpoint by f.
+func raw(t *testing.T, f func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readRequest reads a request whole.
+func readRequest(c net.Conn, in *bufio.Reader) error {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err
+}
+
+func wait(t *testing.T, c <-chan struct{}, what string) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patience):
+		t.Fatalf("%s: not within %v", what, patience)
+	}
+}
+
+// What must go on unchanged does, and so does the answer's body.
+func TestServes(t *testing.T) {
+	answer := "\x1f\x8bnot gzip\x00"
+	addr := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, timed := parseTimeout(r.Header.Get("X-Timeout"))
+		if r.RequestURI != "/api/a%2Fb?x=1" || r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" || !timed ||
+			r.Header.Get("Accept-Encoding") != "" || r.Method == "POST" && string(body) != "hello" {
+			t.Errorf("got %s %s %v %q", r.Method, r.RequestURI, r.Header, body)
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		io.WriteString(w, answer)
+	})
+	p := start(t, testConfig(t, up(addr)))
+	for _, class := range []string{"read", "book", "pay"} {
+		body := "hello"
+		if class == "read" {
+			body = ""
+		}
+		req := p.request(class, body)
+		req.Header.Set("Accept-Encoding", "identity")
+		req.Header.Set("Connection", "Accept-Encoding") // concerns this connection only
+		if resp, got := p.send(req); resp.StatusCode != 200 || got != answer {
+			t.Errorf("%s: %s %q", class, resp.Status, got)
+		}
+	}
+	p.engine.mu.Lock()
+	defer p.engine.mu.Unlock()
+	if len(p.engine.calls) != 0 {
+		t.Errorf("%d calls are kept", len(p.engine.calls))
+	}
+}
+
+// A Transport repeats by itself a request that fails on a reused connection, also
+// a POST with an Idempotency-Key. Each repeat must be the balancer's.
+func TestNoHiddenResend(t *testing.T) {
+	for _, c := range []struct{ method, body string }{
+		{"GET", ""}, {"POST", ""}, {"POST", "x"}, {"POST", strings.Repeat("x", maxBody)},
+	} {
+		t.Run(fmt.Sprint(c.method, len(c.body)), func(t *testing.T) {
+			var came atomic.Int32
+			addr := raw(t, func(c net.Conn) {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; readRequest(c, in) == nil; n++ {
+					came.Add(1)
+					if n == 1 { // the first on this connection is answered, the second is read and dropped
+						return
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			u := newUpstream(testConfig(t, listing{}))
+			u.closeIdle = func() {}
+			transport := u.transport()
+			defer transport.CloseIdleConnections()
+			do := func() answer {
+				req, err := http.NewRequest(c.method, "http://"+addr+"/", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("Idempotency-Key", "k")
+				return (&exchange{ctx: context.Background()}).do(transport, req, []byte(c.body))
+			}
+			if a := do(); a.result != yewwood.OK || string(a.body) != "ok" {
+				t.Fatalf("first: %+v", a)
+			}
+			if a := do(); a.result != yewwood.Reset {
+				t.Errorf("second: %+v, want a reset", a)
+			}
+			if n := came.Load(); n != 2 {
+				t.Errorf("%d requests came, want 2", n)
+			}
+		})
+	}
+}
+
+// An outcome that proves a request never ran lets it be sent again; in doubt, it may have run.
+func TestOutcomes(t *testing.T) {
+	reply := func(text string) string {
+		return raw(t, func(c net.Conn) {
+			defer c.Close()
+			if readRequest(c, bufio.NewReader(c)) == nil {
+				io.WriteString(c, text)
+			}
+		})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String()
+	l.Close()
+	silent := raw(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	for name, c := range map[string]struct {
+		addr string
+		want yewwood.Result
+	}{
+		"served":          {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), yewwood.OK},
+		"error":           {reply("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
+		"503":             {reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
+		"503 not run":     {reply("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Rejected},
+		"504 not run":     {reply("HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Rejected},
+		"500 not run":     {reply("HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
+		"no answer":       {reply(""), yewwood.Reset},
+		"half a header":   {reply("HTTP/1.1 200 OK\r\nContent-Le"), yewwood.Reset},
+		"short body":      {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), yewwood.Reset},
+		"short chunk":     {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok"), yewwood.Reset},
+		"no HTTP":         {reply("hello\r\n"), yewwood.Reset},
+		"oversized":       {reply("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)), yewwood.Error},
+		"refused":         {closed, yewwood.ConnectFailed},
+		"silent":          {silent, yewwood.Timeout},
+		"barred at start": {silent, yewwood.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(testConfig(t, listing{}))
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			x := &exchange{ctx: ctx}
+			switch name {
+			case "barred at start":
+				x.bar()
+			case "silent":
+				time.AfterFunc(100*time.Millisecond, func() {
+					for x.state.Load() != writing || !x.filled.Load() {
+						time.Sleep(time.Millisecond)
+					}
+					cancel(errDeadline)
+				})
+			}
+			req, err := http.NewRequest("POST", "http://"+c.addr+"/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if a := x.do(u.transport(), req, []byte("body")); a.result != c.want {
+				t.Errorf("result %d, want %d", a.result, c.want)
+			}
+		})
+	}
+}
+
+// A break before the request's last byte is written proves that it never ran.
+func TestBreakWhileWriting(t *testing.T) {
+	here, there := net.Pipe()
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		return &conn{Conn: here, closed: func() {}}, nil
+	}}
+	go func() {
+		there.Read(make([]byte, 10))
+		there.Close()
+	}()
+	req, err := http.NewRequest("POST", "http://127.0.0.1:1/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := (&exchange{ctx: context.Background()}).do(transport, req, []byte(strings.Repeat("x", maxBody)))
+	if a.result != yewwood.ConnectFailed {
+		t.Errorf("result %d, want %d", a.result, yewwood.ConnectFailed)
+	}
+}
+
+// An unsafe request that may have run is failed, never refused and never sent again;
+// one that never ran goes to another endpoint.
+func TestUnsafe(t *testing.T) {
+	var ran atomic.Int32
+	drops := raw(t, func(c net.Conn) {
+		defer c.Close()
+		if readRequest(c, bufio.NewReader(c)) == nil {
+			ran.Add(1)
+		}
+	})
+	p := start(t, testConfig(t, up(drops)))
+	if resp, _ := p.send(p.request("pay", "x")); resp.StatusCode != http.StatusBadGateway || ran.Load() != 1 {
+		t.Errorf("%s after %d attempts, want a 502 after 1", resp.Status, ran.Load())
+	}
+	var turned atomic.Int32
+	full := func(w http.ResponseWriter, r *http.Request) {
+		if turned.Add(1) == 1 {
+			w.Header().Set("X-Not-Processed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	p = start(t, testConfig(t, up(backend(t, full), backend(t, full))))
+	if resp, _ := p.send(p.request("pay", "x")); resp.StatusCode != 200 || turned.Load() != 2 {
+		t.Errorf("%s after %d attempts, want a 200 after 2", resp.Status, turned.Load())
+	}
+}
+
+// A request that never ran and that nobody will take is refused at once.
+func TestRefusedAtOnce(t *testing.T) {
+	p := start(t, testConfig(t, listing{}))
+	req := p.request("pay", "x")
+	req.Header.Set("X-Timeout", "1m") // too short for the balancer to begin
+	if resp, _ := p.send(req); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%s, want a 503", resp.Status)
+	}
+}
+
+// Bad input reaches neither the balancer nor an endpoint.
+func TestBadRequests(t *testing.T) {
+	addr := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
+	p := start(t, testConfig(t, up(addr)))
+	for name, c := range map[string]struct {
+		spoil func(r *http.Request)
+		want  int
+	}{
+		"no id":          {func(r *http.Request) { r.Header.Del("X-Request-ID") }, 400},
+		"long id":        {func(r *http.Request) { r.Header.Set("X-Request-ID", strings.Repeat("x", maxID+1)) }, 400},
+		"unknown class":  {func(r *http.Request) { r.Header.Set("X-Priority-Class", "x") }, 400},
+		"no class":       {func(r *http.Request) { r.Header.Del("X-Priority-Class") }, 400},
+		"unknown tenant": {func(r *http.Request) { r.Header.Set("X-Tenant-Id", "x") }, 400},
+		"no key":         {func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"no unit":        {func(r *http.Request) { r.Header.Set("X-Timeout", "480") }, 400},
+		"negative":       {func(r *http.Request) { r.Header.Set("X-Timeout", "-1m") }, 400},
+		"not a number":   {func(r *http.Request) { r.Header.Set("X-Timeout", "NaNm") }, 400},
+		"endless":        {func(r *http.Request) { r.Header.Set("X-Timeout", "1e300m") }, 400},
+		"bad cost":       {func(r *http.Request) { r.Header.Set("X-Cost", "-3") }, 400},
+		"method":         {func(r *http.Request) { r.Method = "DELETE" }, 400},
+		"long body": {func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), maxBody+1
+		}, 413},
+		"long chunks": {func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), -1
+		}, 413},
+	} {
+		req := p.request("book", "x")
+		c.spoil(req)
+		if resp, _ := p.send(req); resp.StatusCode != c.want {
+			t.Errorf("%s: %s, want %d", name, resp.Status, c.want)
+		}
+	}
+	if p.engine.last != 0 {
+		t.Errorf("%d requests reached the balancer", p.engine.last)
+	}
+}
+
+// A client that has gone is owed nothing: its attempt's connection is closed.
+func TestClientGone(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	addr := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	p := start(t, testConfig(t, up(addr)))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		if resp, err := http.DefaultTransport.RoundTrip(newRequest(ctx, t, p.url, "book", "x")); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	wait(t, began, "attempt")
+	cancel()
+	wait(t, ended, "end of the attempt")
+}
+
+// An attempt that waits for a connection must not go out once its endpoint has left.
+func TestLeftWhileDialing(t *testing.T) {
+	var once sync.Once
+	dialing, left := make(chan struct{}), make(chan struct{})
+	leaving := raw(t, func(c net.Conn) {
+		defer c.Close()
+		if n, _ := c.Read(make([]byte, 1)); n > 0 {
+			t.Error("it went out late")
+		}
+	})
+	c := testConfig(t, up(leaving))
+	p := start(t, c)
+	p.engine.mu.Lock()
+	for _, to := range p.engine.endpoints {
+		dial := to.transport.DialContext
+		to.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == leaving {
+				once.Do(func() { close(dialing) })
+				<-left
+			}
+			return dial(ctx, network, addr)
+		}
+	}
+	p.engine.mu.Unlock()
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := p.send(p.request("pay", "x"))
+		status <- resp.StatusCode
+	}()
+	wait(t, dialing, "dial")
+	taken := backend(t, func(http.ResponseWriter, *http.Request) {})
+	l := up(leaving, taken)
+	l.Reset, l.Instances[0].Lifecycle = false, "draining"
+	p.engine.list(&l)
+	close(left)
+	select {
+	case got := <-status:
+		if got != 200 {
+			t.Errorf("status %d, want 200 from the other endpoint", got)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+}
+
+// An endpoint's address may change under its id.
+func TestAddressChanges(t *testing.T) {
+	who := func(name string) string {
+		return backend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+	}
+	first, second := up(who("first")), up(who("second"))
+	p := start(t, testConfig(t, first))
+	if _, got := p.send(p.request("read", "")); got != "first" {
+		t.Errorf("%q, want first", got)
+	}
+	p.engine.list(&second)
+	if _, got := p.send(p.request("read", "")); got != "second" {
+		t.Errorf("%q, want second", got)
+	}
+}
+
+// What was taken before and shortly after the signal is answered, and callers are steered off.
+func TestShutdown(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	addr := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(began)
+		<-finish
+		io.WriteString(w, "ok")
+	})
+	p := start(t, testConfig(t, up(addr)))
+	type result struct {
+		status int
+		closes bool
+	}
+	results := make(chan result, 1)
+	go func() {
+		resp, _ := p.send(p.request("book", "x"))
+		results <- result{resp.StatusCode, resp.Close}
+	}()
+	wait(t, began, "attempt")
+	stopped := make(chan struct{})
+	go func() {
+		p.server.Shutdown()
+		close(stopped)
+	}()
+	for !p.server.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	close(finish)
+	if r := <-results; r.status != 200 || !r.closes {
+		t.Errorf("%+v, want a 200 that closes", r)
+	}
+	wait(t, stopped, "shutdown")
+	if err := <-p.served; err != nil {
+		t.Error(err)
+	}
+}
+
+// Idle callers must not keep a new one out.
+func TestIdleCallersGiveWay(t *testing.T) {
+	addr := backend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	c := testConfig(t, up(addr))
+	c.Limits.Sockets = reservedSockets + 2*3
+	p := start(t, c)
+	for i := range 10 {
+		own := &http.Transport{}
+		defer own.CloseIdleConnections()
+		resp, err := own.RoundTrip(p.request("read", ""))
+		if err != nil {
+			t.Fatalf("caller %d: %v", i, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Errorf("caller %d: %s", i, resp.Status)
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -120,7 +120,12 @@
 }
 
 // The states of an exchange's sending.
-const waiting, writing, barred = 0, 1, 2
+const (
+	waiting = iota // for a connection
+	writing        // or written
+	barred         // before it began to be written
+	resent         // the Transport tried to send it again, and was kept from it
+)
 
 // exchange is one request to an endpoint and its answer.
 type exchange struct {
@@ -139,9 +144,18 @@
 // bar keeps a request that has not begun to go out from doing so.
 func (x *exchange) bar() bool { return x.state.CompareAndSwap(waiting, barred) }
 
-// sent tells whether the last byte of the request was written. It may be asked
-// once the Transport has returned an error, as its writer has ended by then.
-func (x *exchange) sent() bool { return x.filled.Load() && !x.broken.Load() }
+// sent tells whether the last byte of the request may have been written. It may be
+// asked once the Transport has returned an error, as its writer has ended by then.
+// The Transport counts a request as written once it is buffered, also a barred one.
+func (x *exchange) sent() bool {
+	switch x.state.Load() {
+	case writing:
+		return x.filled.Load() && !x.broken.Load()
+	case resent:
+		return true
+	}
+	return false
+}
 
 // answer is what came back of an exchange.
 type answer struct {
@@ -165,7 +179,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			info.Conn.(*conn).now = x
 			if x.conns.Add(1) > 1 {
-				x.state.Store(barred)
+				x.state.Store(resent)
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { x.filled.Store(info.Err == nil) },
