--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -34,6 +35,7 @@
 // endpoint is where an endpoint is reached.
 type endpoint struct {
 	addr      string
+	started   time.Duration
 	left      bool // it drains or is gone
 	transport *http.Transport
 }
@@ -285,9 +287,11 @@
 			to = &endpoint{transport: e.up.transport()}
 			e.endpoints[in.ID] = to
 		}
-		if in.addr != "" && in.addr != to.addr {
+		// Connections to the old address or process are of no more use; one to a machine
+		// that vanished may stay open and silent, and the next request on it would be lost.
+		if moved := in.addr != "" && in.addr != to.addr; moved || in.Started != to.started {
 			to.transport.CloseIdleConnections()
-			to.addr = in.addr
+			to.addr, to.started = cmp.Or(in.addr, to.addr), in.Started
 		}
 		to.left = in.State != yewwood.InService
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -512,6 +512,31 @@
 	}
 }
 
+// Idle connections to a process that has been replaced are not used again.
+func TestRestartClosesIdle(t *testing.T) {
+	var conns atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	l := up(s.Listener.Addr().String())
+	p := start(t, testConfig(t, l))
+	for range 2 {
+		if resp, _ := p.send(p.request("read", "")); resp.StatusCode != 200 {
+			t.Fatal(resp.Status)
+		}
+		l.Instances[0].StartedMS = time.Now().Add(-time.Hour).UnixMilli()
+		p.engine.list(&l)
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
 // What was taken before and shortly after the signal is answered, and callers are steered off.
 func TestShutdown(t *testing.T) {
 	began, finish := make(chan struct{}), make(chan struct{})
