Test the program itself: SIGTERM ends with 0, a bad setting is named

Seen: main.go had no test, and its exit codes were only tried by hand. The tests start the test binary as the program on loopback addresses of their own.

--- /dev/null
+++ b/cmd/barleydrum/main_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("BARLEYDRUM_TEST_MAIN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// A loopback address of these tests' own.
+const address = "127.83.19.7:28641"
+
+const config = `{"name": "n1", "listen": "` + address + `", "discovery": "127.83.19.8:1", "seed": "1f",
+"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+"known": {"generation": 1, "reset": true, "instances": [
+ {"instanceId": "s", "hostPort": "127.83.19.9:1", "zone": "a", "lifecycle": "up"}]},
+"settings": {"balancers": 1, "zones": ["a"], "discovery": "push", "stepNs": 1000000,
+ "classes": [{"name": "read", "goalTimeNs": 100000000, "hardLimitNs": 200000000, "importance": 1, "semantics": "safe"}]}}`
+
+// program prepares the program with a configuration.
+func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1", "PROXY_CONFIG="+path)
+	log := new(bytes.Buffer)
+	cmd.Stderr = log
+	return cmd, log
+}
+
+// A planned restart is no crash: SIGTERM ends the program with 0.
+func TestSIGTERM(t *testing.T) {
+	cmd, log := program(t, config)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ready := false
+	for end := time.Now().Add(20 * time.Second); !ready && time.Now().Before(end); {
+		if resp, err := http.Get("http://" + address + "/healthz"); err == nil {
+			resp.Body.Close()
+			ready = resp.StatusCode == http.StatusOK
+		} else {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	if !ready {
+		cmd.Process.Kill()
+	} else if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	if err := cmd.Wait(); err != nil || !ready {
+		t.Errorf("ready %v, ended with %v: %s", ready, err, log)
+	}
+}
+
+// A bad configuration ends the program, and its message names the setting.
+func TestBadConfig(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"seed": "1f"`, `"seed": ""`, "seed"},
+		{`"goalTimeNs": 100000000`, `"goalTimeNs": 0`, "Goal"},
+		{`"discovery": "127.83.19.8:1"`, `"discovery": "nowhere"`, "discovery"},
+	} {
+		cmd, log := program(t, strings.Replace(config, c.old, c.new, 1))
+		if err := cmd.Run(); err == nil || !strings.Contains(log.String(), c.want) {
+			t.Errorf("%s: ended with %v: %s", c.new, err, log)
+		}
+	}
+}
