Test the door kept open after SIGTERM, and discovery that is asked

A request on a new connection after the signal must be served, and where discovery is asked, a call that fails must be repeated only when the balancer says so. Both hold as written; Shutdown's time became a field so that the test need not be tight.

--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -17,7 +17,11 @@
 // follow runs discovery against a handler until the test ends.
 func follow(t *testing.T, known listing, h http.HandlerFunc) *Engine {
 	t.Helper()
-	c := testConfig(t, known)
+	return followConfig(t, testConfig(t, known), h)
+}
+
+func followConfig(t *testing.T, c *Config, h http.HandlerFunc) *Engine {
+	t.Helper()
 	c.Discovery = backend(t, h)
 	e, err := NewEngine(c)
 	if err != nil {
@@ -98,6 +102,31 @@
 	}
 }
 
+// Where discovery is asked, it is asked when the balancer says so, and a call that fails is
+// the balancer's to repeat: a fleet that asked again at once would keep discovery down.
+func TestAsksWhenTold(t *testing.T) {
+	c := testConfig(t, listing{})
+	c.Module.AskDiscovery = true
+	calls, listed := 0, make(chan struct{})
+	e := followConfig(t, c, func(w http.ResponseWriter, r *http.Request) {
+		switch calls++; calls {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			json.NewEncoder(w).Encode(up("127.0.0.1:2"))
+		case 3:
+			close(listed)
+			fallthrough
+		default:
+			<-r.Context().Done()
+		}
+	})
+	wait(t, listed, "second call")
+	if !e.ready.Load() {
+		t.Error("the list was not taken")
+	}
+}
+
 // Every sidecar has the same number for an endpoint, whatever the order of the list,
 // and two names with one hash have two numbers.
 func TestEndpointIDs(t *testing.T) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -48,7 +48,8 @@
 	cfg      *Config
 	engine   *Engine
 	http     http.Server
-	most     int // connections
+	most     int           // connections
+	linger   time.Duration // how long Shutdown goes on accepting
 	draining atomic.Bool
 
 	mu   sync.Mutex
@@ -58,7 +59,7 @@
 
 // NewServer returns a Server that hands its requests to an engine.
 func NewServer(c *Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, most: c.connections(), idle: make(map[net.Conn]time.Time)}
+	s := &Server{cfg: c, engine: e, most: c.connections(), linger: lingerTime, idle: make(map[net.Conn]time.Time)}
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/healthz" {
@@ -117,7 +118,7 @@
 func (s *Server) Shutdown() {
 	s.draining.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
-	time.Sleep(lingerTime)
+	time.Sleep(s.linger)
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.longestDeadline()+shutdownSpare)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil { // a caller that sent no whole request is owed nothing
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -539,14 +539,16 @@
 
 // What was taken before and shortly after the signal is answered, and callers are steered off.
 func TestShutdown(t *testing.T) {
+	var once sync.Once
 	began, finish := make(chan struct{}), make(chan struct{})
 	addr := backend(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
-		close(began)
+		once.Do(func() { close(began) })
 		<-finish
 		io.WriteString(w, "ok")
 	})
 	p := start(t, testConfig(t, up(addr)))
+	p.server.linger = 3 * time.Second // ample on a slow machine
 	type result struct {
 		status int
 		closes bool
@@ -566,6 +568,17 @@
 		time.Sleep(time.Millisecond)
 	}
 	close(finish)
+	// Connections go on coming for a while: a closed door would lose their requests.
+	own := &http.Transport{}
+	defer own.CloseIdleConnections()
+	late, err := own.RoundTrip(p.request("read", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	late.Body.Close()
+	if late.StatusCode != 200 || !late.Close {
+		t.Errorf("after the signal: %s, closes %v, want a 200 that closes", late.Status, late.Close)
+	}
 	if r := <-results; r.status != 200 || !r.closes {
 		t.Errorf("%+v, want a 200 that closes", r)
 	}
