--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -160,18 +160,23 @@
 	}
 }
 
-// serve hands a call to the balancer and waits for its final answer. If ctx ends
-// first, the caller has gone or its time is up: the call has failed.
-func (e *Engine) serve(ctx context.Context, c *call) final {
-	c.done = make(chan final, 1)
+// take hands a call to the balancer.
+func (e *Engine) take(c *call) {
 	e.mu.Lock()
+	defer e.mu.Unlock() // net/http outlives a panic, which must not leave the lock taken
 	e.last++
 	c.ID = e.last
+	c.done = make(chan final, 1)
 	e.calls[c.ID] = c
 	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
 		return e.balancer.Request(now, c.Request, acts)
 	})
-	e.mu.Unlock()
+}
+
+// serve hands a call to the balancer and waits for its final answer. If ctx ends
+// first, the caller has gone or its time is up: the call has failed.
+func (e *Engine) serve(ctx context.Context, c *call) final {
+	e.take(c)
 	select {
 	case f := <-c.done:
 		return f
