Refuse a request with a Transfer-Encoding, and HTTP/1.0

Cause: net/http drops the Content-Length beside a chunked coding, and the Transfer-Encoding of an HTTP/1.0 request (readTransfer), so call took the one reading and an endpoint or the next read the other. Callers send lengths, so any Transfer-Encoding is answered 411 and a bad request's connection is closed.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -137,9 +137,13 @@
 // call serves one request.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
+	if err := checkFraming(r); err != nil {
+		reject(w, http.StatusLengthRequired, err)
+		return
+	}
 	c, err := s.parse(r)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		reject(w, http.StatusBadRequest, err)
 		return
 	}
 	control := http.NewResponseController(w)
@@ -150,7 +154,7 @@
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 			status = http.StatusRequestEntityTooLarge
 		}
-		http.Error(w, err.Error(), status)
+		reject(w, status, err)
 		return
 	}
 	control.SetReadDeadline(time.Time{})
@@ -164,6 +168,26 @@
 	writeFinal(w, f)
 }
 
+// checkFraming returns an error for a request whose end can be read in two ways: its body
+// may hide another request. net/http drops a Content-Length beside a Transfer-Encoding, and
+// a Transfer-Encoding of HTTP/1.0, before they can be compared; callers send lengths.
+func checkFraming(r *http.Request) error {
+	if len(r.TransferEncoding) > 0 {
+		return errors.New("Transfer-Encoding: not taken, send a Content-Length")
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return fmt.Errorf("%s: not taken, send HTTP/1.1", r.Proto)
+	}
+	return nil
+}
+
+// reject answers a request that can't be used. What follows it on its connection can't be
+// trusted, so that is closed.
+func reject(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
 // writeFinal writes a final answer. Only a refusal is worded 503: it tells the
 // caller that trying again does no harm.
 func writeFinal(w http.ResponseWriter, f final) {
