Follow another discovery on SIGHUP

Cause: main asked for SIGTERM and SIGINT only, so the runtime's default ended the process. Ruled out: anything in discovery itself, which was not reached. The file is read again and goes before PROXY_DISCOVERY, which is as old as the process; the call in flight is given up and the new address asked for the whole list.

--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -23,8 +23,12 @@
 	}
 }
 
-// run serves until SIGTERM or SIGINT.
+// run serves until SIGTERM or SIGINT. SIGHUP has discovery's address read again.
 func run() error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // before all else: unhandled it would end the program
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -33,8 +37,6 @@
 	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 3 / 4) // the rest is for stacks, files and the program itself
 	slog.SetDefault(slog.With("name", cfg.Name))
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	engine, err := sidecar.NewEngine(cfg)
 	if err != nil {
 		return err
@@ -46,9 +48,13 @@
 	server := sidecar.NewServer(cfg, engine)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
-	following, end := context.WithCancel(context.Background())
-	defer end()
-	go sidecar.NewDiscovery(cfg, engine).Run(following)
+	discovery := sidecar.NewDiscovery(cfg, engine)
+	go discovery.Run(context.Background()) // also while the last requests are answered
+	go func() {
+		for range hangup {
+			reload(discovery)
+		}
+	}()
 
 	select {
 	case err := <-served:
@@ -58,3 +64,14 @@
 		return nil
 	}
 }
+
+// reload follows the discovery that the configuration names now. The rest of it is read at
+// the start only.
+func reload(d *sidecar.Discovery) {
+	cfg, err := sidecar.ReloadConfig(os.Getenv)
+	if err != nil {
+		slog.Error("reload: keeping the configuration at hand", "err", err)
+		return
+	}
+	d.Move(cfg.Discovery)
+}
--- a/cmd/barleydrum/main_test.go
+++ b/cmd/barleydrum/main_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -75,6 +77,75 @@
 	}
 }
 
+// asked serves discovery with an empty fleet of news and tells of each call.
+func asked(t *testing.T) (address string, calls <-chan struct{}) {
+	t.Helper()
+	c := make(chan struct{}, 1000)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, `{"generation": 1, "reset": false, "instances": []}`)
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), c
+}
+
+// SIGHUP, which ended the program, has it follow the discovery that its file names then,
+// whatever PROXY_DISCOVERY says; a bad file changes nothing; SIGTERM ends it as ever.
+func TestReload(t *testing.T) {
+	const patience = 20 * time.Second
+	first, firstCalls := asked(t)
+	second, secondCalls := asked(t)
+	third, thirdCalls := asked(t)
+	wait := func(c <-chan struct{}, what string) {
+		t.Helper()
+		select {
+		case <-c:
+		case <-time.After(patience):
+			t.Errorf("%s was not asked", what)
+		}
+	}
+	text := strings.Replace(config, "127.83.19.7:1", "127.83.19.10:41763", 1)
+	cmd, log := program(t, text)
+	var path string
+	for _, v := range cmd.Env {
+		if name, ok := strings.CutPrefix(v, "PROXY_CONFIG="); ok {
+			path = name
+		}
+	}
+	replace := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Error(err)
+		}
+	}
+	cmd.Env = append(cmd.Env, "PROXY_DISCOVERY="+first)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	wait(firstCalls, "the first")
+	replace("{")
+	replace(strings.Replace(text, "127.83.19.8:1", second, 1))
+	wait(secondCalls, "the second")
+	replace(strings.Replace(text, "127.83.19.8:1", third, 1))
+	wait(thirdCalls, "the third")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP) // while it drains
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v: %s", err, log)
+	}
+}
+
 // A bad configuration ends the program, and its message names the setting.
 func TestBadConfig(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -47,6 +47,16 @@
 // variables, where set, go before what the file says. An error names the
 // setting at fault.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	return loadConfig(getenv, getenv)
+}
+
+// ReloadConfig reads the file again. What it says goes before the variables now: these are
+// as old as the process.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	return loadConfig(getenv, func(string) string { return "" })
+}
+
+func loadConfig(getenv, override func(string) string) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, errors.New("PROXY_CONFIG: not set")
@@ -63,7 +73,7 @@
 		name string
 		to   *string
 	}{{"PROXY_NAME", &c.Name}, {"PROXY_LISTEN", &c.Listen}, {"PROXY_DISCOVERY", &c.Discovery}} {
-		if s := getenv(v.name); s != "" {
+		if s := override(v.name); s != "" {
 			*v.to = s
 		}
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"yewwood.example/yewwood"
@@ -154,21 +155,27 @@
 
 // Discovery keeps the engine's list of endpoints up to date.
 type Discovery struct {
-	addr       string
 	asks       bool          // the module asks for the list; else it is pushed
 	wait, late time.Duration // how long a call may wait, and its answer take beyond
 	engine     *Engine
 	client     *http.Client
+	transport  *http.Transport
 	failed     bool   // the last call did
 	index      string // the version of the list at hand; empty for none
+
+	mu     sync.Mutex
+	addr   string
+	moved  bool               // to addr, which has not been asked yet
+	cancel context.CancelFunc // ends the calls to the address before
 }
 
 // NewDiscovery returns the Discovery of an engine.
 func NewDiscovery(c *Config, e *Engine) *Discovery {
 	d := &Discovery{
 		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, late: pushAnswer, engine: e,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}},
+		transport: &http.Transport{MaxConnsPerHost: 2}, cancel: func() {},
 	}
+	d.client = &http.Client{Transport: d.transport}
 	if len(c.known.Instances) > 0 {
 		d.index = c.known.index()
 	}
@@ -178,17 +185,51 @@
 	return d
 }
 
+// Move has discovery at another address from now on. Its versions are its own, so it is
+// asked for the whole list, at once; what a call that is out brings is not taken any more.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr, d.moved = addr, true
+	d.cancel()
+}
+
+// begin returns the address to ask from now on, and a context that ends with the next Move.
+func (d *Discovery) begin(ctx context.Context) (here context.Context, addr string, moved bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cancel() // what is left of the calls before
+	here, d.cancel = context.WithCancel(ctx)
+	addr, moved, d.moved = d.addr, d.moved, false
+	return here, addr, moved
+}
+
 // Run follows the list until ctx ends.
 func (d *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if d.asks {
+		here, addr, moved := d.begin(ctx)
+		if moved {
+			d.index, d.failed = "", false
+			d.transport.CloseIdleConnections()
+			slog.Info("discovery: asking another address", "addr", addr)
+		}
+		d.follow(here, addr, moved)
+	}
+}
+
+// follow follows the list at one address until ctx ends. Where the module asks for the list,
+// it has asked for the one of a new address when it asked for the first.
+func (d *Discovery) follow(ctx context.Context, addr string, asked bool) {
+	for ctx.Err() == nil {
+		if d.asks && !asked {
 			select {
 			case <-d.engine.subscribed:
 			case <-ctx.Done():
 				return
 			}
 		}
-		if err := d.watch(ctx); err != nil && ctx.Err() == nil {
+		asked = false
+		if err := d.watch(ctx, addr); err != nil && ctx.Err() == nil {
 			if !d.failed { // an outage is one line of the log, not one for each call
 				slog.Warn("discovery: keeping the list at hand", "err", err)
 			}
@@ -202,10 +243,13 @@
 }
 
 // watch asks for news until a call fails.
-func (d *Discovery) watch(ctx context.Context) error {
+func (d *Discovery) watch(ctx context.Context, addr string) error {
 	for {
 		asked := time.Now()
-		l, err := d.ask(ctx)
+		l, err := d.ask(ctx, addr)
+		if err == nil {
+			err = ctx.Err() // discovery may have moved as the answer came
+		}
 		if err != nil {
 			return err
 		}
@@ -221,7 +265,7 @@
 }
 
 // ask makes one call.
-func (d *Discovery) ask(ctx context.Context) (*listing, error) {
+func (d *Discovery) ask(ctx context.Context, addr string) (*listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.wait+d.late)
 	defer cancel()
 	query := url.Values{}
@@ -229,7 +273,7 @@
 		query.Set("index", d.index)
 		query.Set("wait", strconv.FormatInt(d.wait.Milliseconds(), 10))
 	}
-	u := url.URL{Scheme: "http", Host: d.addr, Path: "/v1/servers", RawQuery: query.Encode()}
+	u := url.URL{Scheme: "http", Host: addr, Path: "/v1/servers", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,11 @@
 }
 
 func followConfig(t *testing.T, c *Config, h http.HandlerFunc) *Engine {
+	t.Helper()
+	return followMoves(t, c, h).engine
+}
+
+func followMoves(t *testing.T, c *Config, h http.HandlerFunc) *Discovery {
 	t.Helper()
 	c.Discovery = backend(t, h)
 	e, err := NewEngine(c)
@@ -39,7 +45,57 @@
 		cancel()
 		wait(t, ended, "end of the watch")
 	})
-	return e
+	return d
+}
+
+// A call to the address before is given up as discovery moves, and the new address is asked
+// for the whole list: its versions are its own. Where the list is asked for, that needs no
+// further word of the balancer.
+func TestMove(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		asked, given := make(chan struct{}, 100), make(chan struct{}, 100)
+		hang := func(r *http.Request) {
+			asked <- struct{}{}
+			<-r.Context().Done()
+			given <- struct{}{}
+		}
+		first := make(chan string, 2)
+		var moves [2]string
+		for i := range moves {
+			var calls atomic.Int32
+			moves[i] = backend(t, func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) == 1 {
+					first <- r.URL.RawQuery
+					json.NewEncoder(w).Encode(up(fmt.Sprint("127.0.0.1:", 3+i)))
+					return
+				}
+				hang(r)
+			})
+		}
+		c := testConfig(t, up("127.0.0.1:2"))
+		c.Module.AskDiscovery = asks
+		d := followMoves(t, c, func(_ http.ResponseWriter, r *http.Request) { hang(r) })
+		if asks {
+			d.engine.mu.Lock()
+			d.engine.act(&yewwood.Action{Kind: yewwood.Subscribe})
+			d.engine.mu.Unlock()
+		}
+		wait(t, asked, "call")
+		for i, addr := range moves { // moves may repeat
+			d.Move(addr)
+			wait(t, given, "end of the old call")
+			wait(t, asked, "second call at the new address")
+			if got := <-first; got != "" {
+				t.Errorf("asks %v: first call with %q, want the whole list", asks, got)
+			}
+			d.engine.mu.Lock()
+			got := d.engine.endpoints[d.engine.names.id("s-0")].addr
+			d.engine.mu.Unlock()
+			if want := fmt.Sprint("127.0.0.1:", 3+i); got != want {
+				t.Errorf("asks %v: endpoint at %s, want %s", asks, got, want)
+			}
+		}
+	}
 }
 
 // Version 0 left out of a watch had each call answered with the whole list, at once.
