Bound bad callers: time, place, ids, deadlines

Read in server.go and checked with the new tests, which fail without it: header and body might take 5 s each (3 s are owed); a 60 MB body was read up to 64 KiB before its 413; only idle connections gave way, so silent ones or half requests filled the listener (420 of them shut a usual caller out for 20 s or more); idle ones stayed 2 min; an id that is open was taken again; X-Timeout reached the module up to an hour. Now: 2 s + 0.7 s, a 413 by the header, the silent give way first, then idle ones, then half requests older than 0.1 s; 409; the class's deadline. netutil.LimitListener hides the socket, whose unread bytes tell a silent caller from one about to be read, so door.go takes its place and x/net goes.

--- /dev/null
+++ b/internal/sidecar/door.go
@@ -0,0 +1,67 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// door is a listener that has so many connections open at most. More wait unaccepted.
+type door struct {
+	net.Listener
+	places chan struct{} // one for each connection that is open
+	shut   chan struct{}
+	once   sync.Once
+}
+
+func newDoor(l net.Listener, most int) *door {
+	return &door{Listener: l, places: make(chan struct{}, most), shut: make(chan struct{})}
+}
+
+// Accept waits for a place, then for a connection.
+func (d *door) Accept() (net.Conn, error) {
+	select {
+	case d.places <- struct{}{}:
+	case <-d.shut:
+		return nil, net.ErrClosed
+	}
+	c, err := d.Listener.Accept()
+	if err != nil {
+		<-d.places
+		return nil, err
+	}
+	return &guest{Conn: c, leave: sync.OnceFunc(func() { <-d.places })}, nil
+}
+
+func (d *door) Close() error {
+	d.once.Do(func() { close(d.shut) })
+	return d.Listener.Close()
+}
+
+// guest is a connection that has a place.
+type guest struct {
+	net.Conn
+	leave func()
+}
+
+func (g *guest) Close() error {
+	defer g.leave()
+	return g.Conn.Close()
+}
+
+// CloseWrite is what net/http ends a connection with, so that its last answer is read.
+func (g *guest) CloseWrite() error {
+	if c, ok := g.Conn.(*net.TCPConn); ok {
+		return c.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn lets quiet see the socket, which net/netutil's limited connections hide.
+func (g *guest) SyscallConn() (syscall.RawConn, error) {
+	if c, ok := g.Conn.(syscall.Conn); ok {
+		return c.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -180,23 +180,26 @@
 
 // quiet tells whether nothing has come on an idle connection: neither its end nor bytes,
 // which would be read as the answer to the next request.
-func (c *conn) quiet() bool {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok || c.in.Buffered() > 0 {
+func (c *conn) quiet() bool { return c.in.Buffered() == 0 && quiet(c.Conn) }
+
+// quiet tells whether a socket is open with nothing to read. It does not wait for another
+// reader of the connection.
+func quiet(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
 		return false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	nothing := false
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
+		nothing = err == syscall.EAGAIN
 	})
-	return err == nil && quiet
+	return err == nil && nothing
 }
 
 // read reads the answer to a request, its body whole. Used again may be only a connection
@@ -233,6 +236,10 @@
 
 // readHead reads an answer's header, of so many bytes at most.
 func (c *conn) readHead(most int) ([]byte, error) {
+	// What is no answer must not be waited on for its line to end.
+	if start, err := c.in.Peek(len(protocol)); err == nil && !bytes.Equal(start, protocol) {
+		return nil, spoilt{fmt.Errorf("begins with %q", start)}
+	}
 	var head []byte
 	for {
 		line, err := c.in.ReadSlice('\n')
@@ -242,8 +249,6 @@
 			return nil, spoilt{errors.New("header too long")}
 		case err != nil && err != bufio.ErrBufferFull:
 			return nil, err
-		case len(head) >= len(protocol) && !bytes.HasPrefix(head, protocol):
-			return nil, spoilt{fmt.Errorf("begins with %.20q", head)}
 		case bytes.HasSuffix(head, []byte("\n\r\n")), bytes.HasSuffix(head, []byte("\n\n")):
 			return head, nil
 		}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"math"
 	"net"
@@ -15,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"yewwood.example/yewwood"
 )
 
@@ -24,13 +23,21 @@
 	maxHeader = 16 << 10
 	maxID     = 256
 
-	// readTime is how long a caller may take over a request's header, and over its body.
-	readTime = 5 * time.Second
+	// headTime is how long a caller may take over a request's header, and before its first,
+	// bodyTime over its body. Together they end a request that does not come within 3 s.
+	headTime = 2 * time.Second
+	bodyTime = 700 * time.Millisecond
 
 	// writeTime is how long a caller may take to read an answer.
 	writeTime = 5 * time.Second
 
-	callerIdle = 2 * time.Minute // how long a caller's connection may stand idle
+	// callerIdle is how long a caller's connection may stand idle. Some are kept for good
+	// after one request.
+	callerIdle = 5 * time.Second
+
+	// graceTime is how long a connection on which part of a request has come is kept even
+	// where its place is wanted.
+	graceTime = 100 * time.Millisecond
 
 	// answerMargin is what is kept of a caller's time for the answer's way back and
 	// for the scheduler, and once more for the balancer to end what it began.
@@ -52,65 +59,154 @@
 	linger   time.Duration // how long Shutdown goes on accepting
 	draining atomic.Bool
 
-	mu   sync.Mutex
-	open int
-	idle map[net.Conn]time.Time // since when
+	mu      sync.Mutex
+	callers map[net.Conn]*caller
+	looking bool            // a timer will make room
+	ids     map[string]bool // of the requests that are open
+}
+
+// caller is a caller's connection.
+type caller struct {
+	stage stage
+	since time.Time
 }
 
+// stage is how far a caller's connection has come. The lower, the sooner it gives way.
+type stage int
+
+const (
+	silent  stage = iota // nothing has come on it yet
+	idle                 // between two requests
+	partial              // part of a request has come, or it is to be closed
+	taken                // a request is being answered
+)
+
 // NewServer returns a Server that hands its requests to an engine.
 func NewServer(c *Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, most: c.callerConnections(), linger: lingerTime, idle: make(map[net.Conn]time.Time)}
+	s := &Server{cfg: c, engine: e, most: c.callerConnections(), linger: lingerTime,
+		callers: make(map[net.Conn]*caller), ids: make(map[string]bool)}
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/healthz" {
+			switch err := checkFraming(r); {
+			case err != nil:
+				reject(w, http.StatusLengthRequired, err)
+			case r.URL.Path == "/healthz":
 				s.health(w, r)
-				return
+			default:
+				s.call(w, r)
 			}
-			s.call(w, r)
 		}),
-		ReadHeaderTimeout: readTime,
+		ReadHeaderTimeout: headTime,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         s.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ErrorLog: log.New(io.Discard, "", 0), // bad callers must not fill the log
 	}
 	return s
 }
 
 // Serve serves until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(netutil.LimitListener(l, s.most)); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(newDoor(l, s.most)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
-// connState keeps a place free for new connections: idle ones would fill all, and
-// a request on one that waits to be accepted would get no answer.
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// connState follows a connection, and keeps a place free for new ones: silent and idle
+// callers would fill all, and a request on one that waits to be accepted would get no answer.
 func (s *Server) connState(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.idle, c)
 	switch state {
 	case http.StateNew:
-		s.open++
+		s.reached(c, silent)
+	case http.StateActive:
+		s.reached(c, partial)
 	case http.StateIdle:
-		s.idle[c] = time.Now()
-	case http.StateClosed, http.StateHijacked:
-		s.open--
+		s.reached(c, idle)
+	default:
+		s.mu.Lock()
+		delete(s.callers, c)
+		s.mu.Unlock()
 	}
-	if s.open < s.most {
+}
+
+// reached notes the stage of a connection.
+func (s *Server) reached(c net.Conn, at stage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers[c] == nil {
+		if at != silent {
+			return // it has been closed to make room
+		}
+		s.callers[c] = new(caller)
+	}
+	*s.callers[c] = caller{at, time.Now()}
+	s.makeRoom(c)
+}
+
+// makeRoom closes connections until a place is free. If none may be closed yet, it looks
+// again later.
+func (s *Server) makeRoom(newest net.Conn) {
+	for len(s.callers) >= s.most {
+		if s.evict(newest) {
+			continue
+		}
+		if !s.looking {
+			s.looking = true
+			time.AfterFunc(graceTime, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.looking = false
+				s.makeRoom(nil)
+			})
+		}
 		return
 	}
-	var oldest net.Conn
-	for c, since := range s.idle {
-		if oldest == nil || since.Before(s.idle[oldest]) {
-			oldest = c
+}
+
+// evict closes the connection that is the least loss and has been for longest, other than
+// the one that has just come, and tells whether there was one.
+func (s *Server) evict(newest net.Conn) bool {
+	var out net.Conn
+	for c, k := range s.callers {
+		switch {
+		case c == newest && k.stage != idle, k.stage == taken:
+		case k.stage == partial && time.Since(k.since) < graceTime:
+		case k.stage == silent && !quiet(c): // a request is about to be read
+		case out == nil, k.stage < s.callers[out].stage,
+			k.stage == s.callers[out].stage && k.since.Before(s.callers[out].since):
+			out = c
 		}
 	}
-	if oldest != nil {
-		delete(s.idle, oldest)
-		oldest.Close()
+	if out == nil {
+		return false
 	}
+	delete(s.callers, out)
+	out.Close()
+	return true
+}
+
+// open notes the id of a request, unless one that is open has it.
+func (s *Server) open(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids[id] {
+		return false
+	}
+	s.ids[id] = true
+	return true
+}
+
+func (s *Server) closed(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
 }
 
 // Shutdown steers callers off, goes on accepting for a while, and returns when all
@@ -137,8 +233,11 @@
 // call serves one request.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
-	if err := checkFraming(r); err != nil {
-		reject(w, http.StatusLengthRequired, err)
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(came.Add(bodyTime)) // also for what is left of a body that is turned away
+	control.SetWriteDeadline(came.Add(writeTime))
+	if r.ContentLength > maxBody {
+		reject(w, http.StatusRequestEntityTooLarge, fmt.Errorf("body: %d bytes are too many", r.ContentLength))
 		return
 	}
 	c, err := s.parse(r)
@@ -146,17 +245,20 @@
 		reject(w, http.StatusBadRequest, err)
 		return
 	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(came.Add(readTime))
-	c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		status := http.StatusBadRequest
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		reject(w, status, err)
+	c.body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, c.body); err != nil {
+		reject(w, http.StatusBadRequest, fmt.Errorf("body: %w", err))
+		return
+	}
+	id := r.Header.Get("X-Request-ID")
+	if !s.open(id) {
+		reject(w, http.StatusConflict, errors.New("X-Request-ID: a request with it is open"))
 		return
 	}
+	defer s.closed(id)
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+		s.reached(conn, taken)
+	}
 	control.SetReadDeadline(time.Time{})
 
 	margin := min(answerMargin, c.Budget/10)
@@ -214,6 +316,11 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// ownHeaders are those of the protocol, in canonical form.
+var ownHeaders = []string{
+	"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "X-Retried", "X-Cost", "X-Attrs", "Idempotency-Key",
+}
+
 // parse reads a request's header. An error names the field at fault.
 func (s *Server) parse(r *http.Request) (*call, error) {
 	c := &call{method: r.Method, url: r.URL, host: r.Host, header: r.Header.Clone()}
@@ -228,6 +335,11 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, fmt.Errorf("method %.20q: neither GET nor POST", r.Method)
 	}
+	for _, name := range ownHeaders {
+		if len(r.Header[name]) > 1 { // an endpoint may read another than the first
+			return nil, fmt.Errorf("%s: given more than once", name)
+		}
+	}
 	if id := r.Header.Get("X-Request-ID"); id == "" || len(id) > maxID {
 		return nil, errors.New("X-Request-ID: missing or too long")
 	}
@@ -247,9 +359,11 @@
 	}
 	c.Budget = s.cfg.Module.Classes[c.Class].Deadline
 	if text := r.Header.Get("X-Timeout"); text != "" {
-		if c.Budget, ok = parseTimeout(text); !ok {
+		budget, ok := parseTimeout(text)
+		if !ok {
 			return nil, fmt.Errorf("X-Timeout: bad value %.40q", text)
 		}
+		c.Budget = min(budget, c.Budget) // no client of the class waits for longer
 	}
 	if text := r.Header.Get("X-Cost"); text != "" {
 		us, err := strconv.ParseFloat(text, 64)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -844,3 +845,107 @@
 		}
 	}
 }
+
+// dial opens a caller's connection and sends a text on it.
+func (p *proxy) dial(text string) net.Conn {
+	p.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c, text); err != nil {
+		p.t.Fatal(err)
+	}
+	return c
+}
+
+// Callers that say nothing, or half of something, must not shut out one that asks.
+func TestBadCallersGiveWay(t *testing.T) {
+	for _, text := range []string{"", "POST /api/a HTTP/1.1\r\nHost:"} {
+		c := testConfig(t, up(backend(t, func(http.ResponseWriter, *http.Request) {})))
+		c.Limits.Sockets = leastSockets
+		p := start(t, c)
+		for range 20 * c.callerConnections() {
+			p.dial(text)
+		}
+		own := &http.Transport{}
+		defer own.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), patience) // half of what their time-outs come to
+		defer cancel()
+		resp, err := own.RoundTrip(newRequest(ctx, t, p.url, "read", ""))
+		if err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Errorf("%q: %s", text, resp.Status)
+		}
+	}
+}
+
+// A caller that never sends a whole request has an error or a close within 3 s, and one
+// that announces a body of 60 MB is not read through.
+func TestBadCallersAreEnded(t *testing.T) {
+	if headTime+bodyTime >= 3*time.Second {
+		t.Errorf("%v for a header and %v for a body come to 3 s", headTime, bodyTime)
+	}
+	addr := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
+	p := start(t, testConfig(t, up(addr)))
+	const head = "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Priority-Class: book\r\nIdempotency-Key: k\r\n"
+	for name, text := range map[string]string{
+		"silent": "", "half a header": head, "half a body": head + "Content-Length: 9\r\n\r\nhalf",
+		"60 MB": head + "Content-Length: 60000000\r\n\r\n", "noise": "\x00\xff\r\n\r\n",
+		"endless header": head + strings.Repeat("X-A: b\r\n", 10000), "two ids": head + "X-Request-ID: 2\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := p.dial(text)
+			got, err := io.ReadAll(c)
+			if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
+				t.Errorf("open after %v", patience)
+			}
+			if len(got) > 0 && !strings.HasPrefix(string(got), "HTTP/1.1 4") {
+				t.Errorf("answered %.40q", got)
+			}
+		})
+	}
+}
+
+// A request with the id of one that is open is turned away; once that is answered, it is free.
+func TestOpenID(t *testing.T) {
+	began, finish := make(chan struct{}, 2), make(chan struct{})
+	p := start(t, testConfig(t, up(backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		began <- struct{}{}
+		<-finish
+	}))))
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := p.send(p.request("book", "x"))
+		status <- resp.StatusCode
+	}()
+	wait(t, began, "attempt")
+	if resp, _ := p.send(p.request("book", "x")); resp.StatusCode != http.StatusConflict || !resp.Close {
+		t.Errorf("%s, closes %v, want a 409 that closes", resp.Status, resp.Close)
+	}
+	close(finish)
+	if got := <-status; got != 200 {
+		t.Errorf("the first: %d", got)
+	}
+	if resp, _ := p.send(p.request("book", "x")); resp.StatusCode != 200 {
+		t.Errorf("afterwards: %s", resp.Status)
+	}
+}
+
+// Nobody waits for longer than the class's deadline: no timer is held for longer either.
+func TestTimeoutIsBounded(t *testing.T) {
+	p := start(t, testConfig(t, listing{}))
+	req := p.request("read", "")
+	req.Header.Set("X-Timeout", "3000000m")
+	c, err := p.server.parse(req)
+	if err != nil || c.Budget != 30*time.Second {
+		t.Errorf("budget %v, %v, want the class's 30 s", c.Budget, err)
+	}
+}
