Count a pipelined request's time from when it came; bound discovery's answers

Read: net/http begins a request sent ahead only after the one before it, and its time was counted from then, so its answer could come after its client had given up (TestPipelinedTime: it went out with its time up). Connections note when bytes are read.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -31,7 +31,7 @@
 	pushWait, pushAnswer = 200 * time.Millisecond, 200 * time.Millisecond
 	askWait, askAnswer   = 20 * time.Second, 2 * time.Second
 
-	maxList = 16 << 20 // the most bytes of a list
+	maxList = 2 << 20 // the most bytes of a list: some ten thousand endpoints
 )
 
 // listing is a list of endpoints in discovery's form.
@@ -176,7 +176,7 @@
 func NewDiscovery(c *Config, e *Engine) *Discovery {
 	d := &Discovery{
 		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, late: pushAnswer, engine: e,
-		transport: &http.Transport{MaxConnsPerHost: 2}, cancel: func() {},
+		transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxAnswerHeader}, cancel: func() {},
 	}
 	d.client = &http.Client{Transport: d.transport}
 	if len(c.known.Instances) > 0 {
--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // door is a listener that has so many connections open at most. More wait unaccepted.
@@ -31,7 +32,7 @@
 		<-d.places
 		return nil, err
 	}
-	return &guest{Conn: c, leave: sync.OnceFunc(func() { <-d.places })}, nil
+	return &guest{Conn: c, leave: sync.OnceFunc(func() { <-d.places }), last: time.Now()}, nil
 }
 
 func (d *door) Close() error {
@@ -43,6 +44,35 @@
 type guest struct {
 	net.Conn
 	leave func()
+
+	mu          sync.Mutex
+	first, last time.Time // when bytes were read: the first since came was asked, and the last
+}
+
+func (g *guest) Read(p []byte) (int, error) {
+	n, err := g.Conn.Read(p)
+	if n > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.last = time.Now()
+		if g.first.IsZero() {
+			g.first = g.last
+		}
+	}
+	return n, err
+}
+
+// came returns when the request that has been read came. One that was sent ahead has waited
+// for the one before it, all of which its client counts.
+func (g *guest) came() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	came := g.first
+	if came.IsZero() { // in one segment with the one before
+		came = g.last
+	}
+	g.first = time.Time{}
+	return came
 }
 
 func (g *guest) Close() error {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"log/slog"
 	"math"
 	"net"
@@ -103,7 +102,6 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
-		ErrorLog: log.New(io.Discard, "", 0), // bad callers must not fill the log
 	}
 	return s
 }
@@ -256,8 +254,9 @@
 		return
 	}
 	defer s.closed(id)
-	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+	if conn, ok := r.Context().Value(connKey{}).(*guest); ok {
 		s.reached(conn, taken)
+		came = conn.came()
 	}
 	control.SetReadDeadline(time.Time{})
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -949,3 +949,44 @@
 		t.Errorf("budget %v, %v, want the class's 30 s", c.Budget, err)
 	}
 }
+
+// A request sent ahead on its connection waits for the one before it. Its client counts that
+// time: an answer must come within what is left, not within as much again.
+func TestPipelinedTime(t *testing.T) {
+	began, finish := make(chan struct{}, 2), make(chan struct{})
+	p := start(t, testConfig(t, up(backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		began <- struct{}{}
+		<-finish
+	}))))
+	const head = "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: %d\r\nX-Priority-Class: book\r\n" +
+		"Idempotency-Key: k\r\nX-Timeout: %dm\r\nContent-Length: 1\r\n\r\nx"
+	const second = 50 * time.Millisecond
+	first := fmt.Sprintf(head, 1, patience.Milliseconds())
+	next := fmt.Sprintf(head, 2, second.Milliseconds())
+	for name, texts := range map[string][]string{"at once": {first + next}, "one by one": {first, next}} {
+		c := p.dial(texts[0])
+		wait(t, began, name)
+		for _, text := range texts[1:] {
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * second) // the time of the second is up
+		finish <- struct{}{}
+		in := bufio.NewReader(c)
+		for i, want := range []int{200, 503} {
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatalf("%s: answer %d: %v", name, i, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if resp.StatusCode != want {
+				t.Errorf("%s: answer %d: %s, want %d", name, i, resp.Status, want)
+			}
+		}
+		if len(began) > 0 {
+			t.Errorf("%s: the second went out", name)
+		}
+	}
+}
