--- a/balancer.go
+++ b/balancer.go
@@ -17,7 +17,9 @@
 	probePrice = 0.004                // what a probe may cost, in requests, to probe at each arrival
 	probeWait  = 8 * time.Millisecond // how long a probe is waited for before others are sent
 
-	// probesAtOnce bounds the probes out for a request, which adds probesEach to a store of probesSaved.
+	// A request has one probe out and, once that is late, another, up to probesAtOnce: a round trip is short
+	// beside a call, and a probe more for each call costs more than waiting for the last. Each request adds
+	// probesEach to a store of probesSaved.
 	probesAtOnce, probesEach, probesSaved = 4, 4, 24
 
 	probesPerCall = 10.0 // how often in a usual call all sidecars may probe each endpoint beyond that
@@ -154,12 +156,11 @@
 	quotas    []float64 // what each tenant has saved up
 	quotaAt   time.Duration
 
-	hedges, retries, draws float64 // budgets
-	probing                bool    // probes at each arrival tell who is idle
-	probesOut              int
-	probes                 float64 // store of probes
+	hedges, retries, draws float64     // budgets
+	probing                bool        // probes at each arrival tell who is idle
+	probesOut              []*endpoint // whom the probes that are out went to, in their order
+	probes                 float64     // store of probes
 	probesAt               time.Duration
-	idleShare              float64     // of probes that found an idle endpoint
 	idlers                 []*endpoint // found idle lately
 	serveAt                time.Duration
 
@@ -202,7 +203,7 @@
 		requests:  make(map[RequestID]*request),
 		classes:   make([]latency, len(cfg.Classes)),
 		quotas:    make([]float64, len(cfg.Tenants)),
-		hedges:    1, retries: budgetCap, draws: 1, idleShare: 0.5, share: 1,
+		hedges:    1, retries: budgetCap, draws: 1, share: 1,
 		probing: cfg.Limits.Probes && cfg.Reporting == ReportsProbe && cfg.Costs.Probe <= probePrice,
 	}
 	for i, c := range cfg.Classes {
@@ -423,7 +424,7 @@
 		return b.acts
 	}
 	e.probing = false
-	b.probesOut--
+	b.probesOut = slices.DeleteFunc(b.probesOut, func(x *endpoint) bool { return x == e })
 	b.release(e)
 	if res == OK {
 		b.report(e, load, e.probedAt)
@@ -431,9 +432,7 @@
 		b.failed(e, 0)
 	}
 	b.forget(e)
-	b.idleShare -= meanGain * b.idleShare
 	if b.idle(e) {
-		b.idleShare += meanGain
 		b.idlers = append(b.idlers, e)
 	}
 	b.serve()
@@ -636,14 +635,18 @@
 	b.probes = min(b.probes+rate*(b.now-b.probesAt).Seconds(), probesSaved)
 	b.probesAt = b.now
 	first := b.held[len(b.held)-1].arrived == b.now // the newest is last
-	n := int(math.Ceil(0.7 * float64(want) / math.Max(b.idleShare, 0.1)))
-	for n = min(n, probesAtOnce*want) - b.probesOut; n > 0 && b.probes >= 1; n-- {
-		e := b.sample(first)
+	late := 0                                       // the oldest come first
+	for late < len(b.probesOut) && b.now-b.probesOut[late].probedAt >= probeWait {
+		late++
+	}
+	n := want - (len(b.probesOut) - late)
+	for n = min(n, probesAtOnce*want-len(b.probesOut)); n > 0 && b.probes >= 1; n-- {
+		e := b.sample(first, seconds(freshShare*slowest.mean))
 		if e == nil {
 			break
 		}
 		e.probing, e.probedAt = true, b.now
-		b.probesOut++
+		b.probesOut = append(b.probesOut, e)
 		b.probes--
 		b.act(Action{Kind: Probe, Endpoint: e.ID})
 	}
@@ -663,7 +666,8 @@
 }
 
 // sample draws an endpoint to probe, at first in its own zone, passing over suspects and, by ramp, cold ones.
-func (b *Balancer) sample(first bool) *endpoint {
+// One that was just reported busy is believed to be so for as long as one found idle.
+func (b *Balancer) sample(first bool, fresh time.Duration) *endpoint {
 	var spare *endpoint
 	set := b.ready
 	if first && len(b.near) > 0 {
@@ -677,7 +681,7 @@
 		if b.noLink > noLinkLeast && i < len(b.links) && b.rng.Float64() < b.noLink {
 			e = b.links[b.rng.IntN(len(b.links))]
 		}
-		if e.probing || b.rng.Float64() > b.ramp(e) {
+		if e.probing || e.hasLoad && b.now-e.loadAt < fresh || b.rng.Float64() > b.ramp(e) {
 			continue
 		}
 		if b.now < e.suspect {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -242,7 +242,7 @@
 	}
 	got := make(map[EndpointID]int)
 	for range 50 {
-		got[f.b.sample(false).ID]++
+		got[f.b.sample(false, 0).ID]++
 	}
 	if got[1] > 0 {
 		t.Errorf("the failing endpoint was sampled %d times of 50", got[1])
@@ -1010,7 +1010,7 @@
 	f := newFleet(t, config(), servers(200)...)
 	linked := make(map[EndpointID]bool)
 	end := func(res Result) {
-		f.b.probes, f.b.probesOut = probesSaved, 0
+		f.b.probes, f.b.probesOut = probesSaved, nil
 		for _, e := range f.b.ready {
 			e.probing = false
 		}
@@ -1024,7 +1024,7 @@
 	share := func() float64 {
 		hit := 0
 		for range 100 {
-			if linked[f.b.sample(false).ID] {
+			if linked[f.b.sample(false, 0).ID] {
 				hit++
 			}
 		}
@@ -1072,3 +1072,57 @@
 		}
 	}
 }
+
+// A request awaits one probe at a time: asking several at once cost twice as much. A probe that
+// is late must not hold it up, and an endpoint just found busy is not asked again at once.
+func TestOneProbeAtATime(t *testing.T) {
+	f := newFleet(t, config(), servers(3)...)
+	f.request(0, time.Second)
+	asked := make(map[EndpointID]bool)
+	next := func(what string) EndpointID {
+		t.Helper()
+		probes := f.find(Probe)
+		if len(probes) != 1 || asked[probes[0].Endpoint] {
+			t.Fatalf("%s: probes %v after %v, want one to another endpoint", what, probes, asked)
+		}
+		asked[probes[0].Endpoint] = true
+		return probes[0].Endpoint
+	}
+	first := next("request")
+	f.now += probeWait
+	f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil)
+	second := next("the first is late")
+	f.now += ms
+	f.acts = f.b.Probed(f.now, second, OK, &Load{InFlight: 1}, nil)
+	third := next("the second is busy")
+	f.now += ms
+	f.acts = f.b.Probed(f.now, third, OK, &Load{InFlight: 1}, nil)
+	if probes := f.find(Probe); len(probes) > 0 {
+		t.Errorf("probes %v to endpoints just found busy", probes)
+	}
+	f.acts = f.b.Probed(f.now, first, OK, &Load{InFlight: 0}, nil)
+	if sends := f.find(Send); len(sends) != 1 || sends[0].Endpoint != first {
+		t.Errorf("sends %v, want one to %d", sends, first)
+	}
+}
+
+// A whole list tells of a departure only by leaving the endpoint out: its idle connections are
+// closed all the same, and it is forgotten once nothing is out to it.
+func TestGoneIsForgotten(t *testing.T) {
+	cfg := config()
+	cfg.ReleaseWithin = time.Second
+	f := newFleet(t, cfg, servers(2)...)
+	f.request(0, time.Second)
+	out := f.find(Probe)[0].Endpoint
+	f.acts = f.b.Endpoints(f.now, ListFull, nil, nil)
+	if len(f.b.endpoints) != 1 || f.b.endpoints[out] == nil {
+		t.Errorf("%d endpoints known, want the one that is probed", len(f.b.endpoints))
+	}
+	if got := f.find(Release); len(got) != 1 || got[0].Endpoint != out {
+		t.Errorf("released %v, want the one that was asked", got)
+	}
+	f.acts = f.b.Probed(f.now, out, OK, nil, nil)
+	if len(f.b.endpoints) != 0 {
+		t.Errorf("%d endpoints known in the end", len(f.b.endpoints))
+	}
+}
