Tell refused clients when to come back

Seen: 503s carried no Retry-After. Nothing is held back for it. The test of SIGTERM used one id for two requests that are open at once, which failed now and then since the newcomer is refused; it uses two.

--- a/balancer.go
+++ b/balancer.go
@@ -980,10 +980,23 @@
 	if harmless || r.ran == nil && r.out == 0 {
 		kind = Shed
 	}
-	b.act(Action{Kind: kind, Request: r.ID})
+	a := Action{Kind: kind, Request: r.ID}
+	if kind == Shed {
+		a.Delay = b.comeBack(r)
+	}
+	b.act(a)
 	b.close(r)
 }
 
+// comeBack tells the client of a refused request when to come back: soon if a call can still be in time for
+// it then, else as late as it heeds. A retry that comes too late takes an endpoint from one that does not.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	if left := r.goalAt - b.now - seconds(b.usual(r)); left > 0 {
+		return min(left/2, b.cfg.Limits.MaxRetryAfter)
+	}
+	return b.cfg.Limits.MaxRetryAfter
+}
+
 // close ends a request and withdraws its attempts; it is kept until they have ended.
 func (b *Balancer) close(r *request) {
 	r.done = true
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1126,3 +1126,29 @@
 		t.Errorf("%d endpoints known in the end", len(f.b.endpoints))
 	}
 }
+
+// A refused client is told to come back while a retry can still be in time, or else as late as
+// it heeds; where clients heed nothing, it is told nothing.
+func TestRefusedAreToldWhenToComeBack(t *testing.T) {
+	for _, most := range []time.Duration{0, 2 * time.Second} {
+		cfg := config()
+		cfg.Limits.MaxRetryAfter = most
+		f := newFleet(t, cfg)
+		id := f.request(0, 2*time.Second)
+		f.b.classes[0].mean = 0.1
+		f.now += 300 * ms // 400 of its goal's 800 ms are left beyond a call
+		f.b.now, f.b.acts = f.now, nil
+		f.b.finish(f.b.requests[id])
+		f.acts = f.b.acts
+		soon := f.find(Shed)
+		f.b.classes[0].mean = 1
+		f.request(0, 0)
+		late := f.find(Shed)
+		if len(soon) != 1 || len(late) != 1 {
+			t.Fatalf("refused %v and %v", soon, late)
+		}
+		if soon[0].Delay != min(200*ms, most) || late[0].Delay != most {
+			t.Errorf("told %v and %v, with %v at most", soon[0].Delay, late[0].Delay, most)
+		}
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -595,13 +595,16 @@
 	}
 }
 
-// A request that never ran and that nobody will take is refused at once.
+// A request that never ran and that nobody will take is refused at once, and its client is
+// told when to come back.
 func TestRefusedAtOnce(t *testing.T) {
-	p := start(t, testConfig(t, listing{}))
+	c := testConfig(t, listing{})
+	c.Module.Limits.MaxRetryAfter = 1500 * time.Millisecond
+	p := start(t, c)
 	req := p.request("pay", "x")
 	req.Header.Set("X-Timeout", "1m") // too short for the balancer to begin
-	if resp, _ := p.send(req); resp.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("%s, want a 503", resp.Status)
+	if resp, _ := p.send(req); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "1.500" {
+		t.Errorf("%s %v, want a 503 with Retry-After: 1.500", resp.Status, resp.Header)
 	}
 }
 
@@ -808,7 +811,9 @@
 	// Connections go on coming for a while: a closed door would lose their requests.
 	own := &http.Transport{}
 	defer own.CloseIdleConnections()
-	late, err := own.RoundTrip(p.request("read", ""))
+	req := p.request("read", "")
+	req.Header.Set("X-Request-ID", "another: the first may be open still")
+	late, err := own.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
 	}
