--- a/balancer.go
+++ b/balancer.go
@@ -2,7 +2,7 @@
 
 // All decisions of yewwood. The interface (settings, events, actions) is in yewwood.go. The mechanism is
 // SA-JIQ: a request goes to an endpoint known to be idle, of the fastest speed type that has one; with none
-// idle, a type is drawn by speed x share and an endpoint in it uniformly. docs/design.md says what was added.
+// idle, a type is drawn by speed x share and an endpoint in it uniformly.
 
 import (
 	"cmp"
@@ -426,9 +426,11 @@
 	e.probing = false
 	b.probesOut = slices.DeleteFunc(b.probesOut, func(x *endpoint) bool { return x == e })
 	b.release(e)
-	if res == OK {
+	switch res {
+	case OK:
 		b.report(e, load, e.probedAt)
-	} else {
+	case NotSent: // which says nothing of the endpoint
+	default:
 		b.failed(e, 0)
 	}
 	b.forget(e)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1152,3 +1152,18 @@
 		}
 	}
 }
+
+// A probe that the sidecar could not send is not the endpoint's fault.
+func TestProbeNotSentBlamesNobody(t *testing.T) {
+	for res, want := range map[Result]int{NotSent: 0, Timeout: 1} {
+		f := newFleet(t, config(), servers(1)...)
+		f.request(0, time.Second)
+		if probes := f.find(Probe); len(probes) != 1 {
+			t.Fatalf("probes %v", probes)
+		}
+		f.b.Probed(f.now, 1, res, nil, nil)
+		if got := f.b.endpoints[1].fails; got != want {
+			t.Errorf("result %d: %d failures, want %d", res, got, want)
+		}
+	}
+}
