--- a/yewwood.go
+++ b/balance/balance.go
@@ -1,4 +1,4 @@
-// Package yewwood decides for the load balancer of services that call
+// Package balance decides for the load balancer of services that call
 // services: which endpoint gets a request, whether to try again, hedge or
 // shed, and whom to probe. It does no input or output. A caller feeds events
 // to a [Balancer] and carries out the actions it appends.
@@ -18,7 +18,7 @@
 //
 // Events about a request or an endpoint that was never seen are ignored, and
 // so are late or repeated ones.
-package yewwood
+package balance
 
 import (
 	"errors"
@@ -269,21 +269,21 @@
 // check returns an error that names the first setting at fault.
 func (c *Config) check() error {
 	if len(c.Classes) == 0 {
-		return errors.New("yewwood: Classes: none given")
+		return errors.New("balance: Classes: none given")
 	}
 	for i := range c.Classes {
 		k := &c.Classes[i]
 		switch {
 		case k.Semantics > Unsafe:
-			return fmt.Errorf("yewwood: Classes[%d].Semantics: unknown value %d", i, k.Semantics)
+			return fmt.Errorf("balance: Classes[%d].Semantics: unknown value %d", i, k.Semantics)
 		case k.Scope > ScopeCell:
-			return fmt.Errorf("yewwood: Classes[%d].Scope: unknown value %d", i, k.Scope)
+			return fmt.Errorf("balance: Classes[%d].Scope: unknown value %d", i, k.Scope)
 		case k.Goal <= 0:
-			return fmt.Errorf("yewwood: Classes[%d].Goal: not positive", i)
+			return fmt.Errorf("balance: Classes[%d].Goal: not positive", i)
 		case k.Deadline <= 0:
-			return fmt.Errorf("yewwood: Classes[%d].Deadline: not positive", i)
+			return fmt.Errorf("balance: Classes[%d].Deadline: not positive", i)
 		case k.RepeatWindow < 0:
-			return fmt.Errorf("yewwood: Classes[%d].RepeatWindow: negative", i)
+			return fmt.Errorf("balance: Classes[%d].RepeatWindow: negative", i)
 		}
 	}
 	for _, t := range []struct {
@@ -296,7 +296,7 @@
 		{"Limits.MaxRetryAfter", c.Limits.MaxRetryAfter},
 	} {
 		if t.d < 0 {
-			return fmt.Errorf("yewwood: %s: negative", t.name)
+			return fmt.Errorf("balance: %s: negative", t.name)
 		}
 	}
 	return c.checkNumbers()
@@ -333,7 +333,7 @@
 	}
 	for _, n := range numbers {
 		if !(n.v >= 0 && n.v <= n.atMost) || math.IsInf(n.v, 0) { // a NaN fails both
-			return fmt.Errorf("yewwood: %s: %g is out of range", n.name, n.v)
+			return fmt.Errorf("balance: %s: %g is out of range", n.name, n.v)
 		}
 	}
 	return nil
--- a/balancer.go
+++ b/balance/balancer.go
@@ -1,6 +1,6 @@
-package yewwood
+package balance
 
-// All decisions of yewwood. The interface (settings, events, actions) is in yewwood.go. The mechanism is
+// All decisions of balance. The interface (settings, events, actions) is in balance.go. The mechanism is
 // SA-JIQ: a request goes to an endpoint known to be idle, of the fastest speed type that has one; with none
 // idle, a type is drawn by speed x share and an endpoint in it uniformly.
 
--- a/example_test.go
+++ b/balance/example_test.go
@@ -1,22 +1,22 @@
-package yewwood_test
+package balance_test
 
 import (
 	"fmt"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
 )
 
 // A request from its arrival to its answer, with a further try in between: the sidecar feeds events and
 // carries out actions; here it prints those that leave it.
 func Example() {
-	b, err := yewwood.New(yewwood.Config{
+	b, err := balance.New(balance.Config{
 		Balancers: 1,
-		Classes: []yewwood.Class{{
+		Classes: []balance.Class{{
 			Name: "read", Goal: 800 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1,
 		}},
-		Reporting: yewwood.ReportsProbe,
-		Limits:    yewwood.Limits{Probes: true, Cancel: true},
+		Reporting: balance.ReportsProbe,
+		Limits:    balance.Limits{Probes: true, Cancel: true},
 		Step:      time.Millisecond,
 	}, 1)
 	if err != nil {
@@ -24,35 +24,35 @@
 		return
 	}
 	now := time.Second
-	show := func(acts []yewwood.Action) {
+	show := func(acts []balance.Action) {
 		for _, a := range acts {
 			switch a.Kind {
-			case yewwood.Probe:
+			case balance.Probe:
 				fmt.Println(now, "probe an endpoint")
-			case yewwood.Send:
+			case balance.Send:
 				fmt.Println(now, "send request", a.Request)
 			}
 		}
 	}
-	list := []yewwood.Endpoint{{ID: 1, Weight: 1}}
-	show(b.Endpoints(now, yewwood.ListRemember, list, nil))
-	show(b.Request(now, yewwood.Request{ID: 7, Budget: time.Second}, nil))
+	list := []balance.Endpoint{{ID: 1, Weight: 1}}
+	show(b.Endpoints(now, balance.ListRemember, list, nil))
+	show(b.Request(now, balance.Request{ID: 7, Budget: time.Second}, nil))
 
 	now += time.Millisecond
-	show(b.Probed(now, 1, yewwood.OK, &yewwood.Load{InFlight: 0}, nil))
+	show(b.Probed(now, 1, balance.OK, &balance.Load{InFlight: 0}, nil))
 
 	// The endpoint turns the request away unread, so it may be sent again.
 	now += time.Millisecond
-	show(b.Ended(now, yewwood.Outcome{
-		Request: 7, Attempt: 0, Endpoint: 1, Result: yewwood.Rejected, Elapsed: time.Millisecond,
+	show(b.Ended(now, balance.Outcome{
+		Request: 7, Attempt: 0, Endpoint: 1, Result: balance.Rejected, Elapsed: time.Millisecond,
 	}, nil))
 
 	now += time.Millisecond
-	show(b.Probed(now, 1, yewwood.OK, &yewwood.Load{InFlight: 0}, nil))
+	show(b.Probed(now, 1, balance.OK, &balance.Load{InFlight: 0}, nil))
 
 	now += time.Millisecond
-	show(b.Ended(now, yewwood.Outcome{
-		Request: 7, Attempt: 1, Endpoint: 1, Result: yewwood.OK, Closed: true, Elapsed: time.Millisecond,
+	show(b.Ended(now, balance.Outcome{
+		Request: 7, Attempt: 1, Endpoint: 1, Result: balance.OK, Closed: true, Elapsed: time.Millisecond,
 	}, nil))
 	// Output:
 	// 1s probe an endpoint
--- a/property_test.go
+++ b/balance/property_test.go
@@ -1,4 +1,4 @@
-package yewwood
+package balance
 
 import (
 	"math/rand/v2"
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"yewwood.example/yewwood"
-	"yewwood.example/yewwood/internal/wire"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 
 // instance is one sidecar: its balancer, nil if its settings were at fault, and its report's fields.
 type instance struct {
-	balancer *yewwood.Balancer
+	balancer *balance.Balancer
 	fields   []wire.LoadField
 }
 
@@ -33,7 +33,7 @@
 	w := bufio.NewWriterSize(out, 1<<16)
 	var batch wire.Batch
 	var reply []byte
-	var actions []yewwood.Action
+	var actions []balance.Action
 	for {
 		err := reader.Read(&batch)
 		if errors.Is(err, io.EOF) {
@@ -91,14 +91,14 @@
 	if err != nil {
 		return &instance{}, err
 	}
-	b, err := yewwood.New(cfg, e.Seed)
+	b, err := balance.New(cfg, e.Seed)
 	return &instance{balancer: b, fields: fields}, err
 }
 
 var errPanic = errors.New("panic")
 
 // handle gives an event to its balancer.
-func handle(in *instance, batch *wire.Batch, e *wire.Event, acts []yewwood.Action) (_ []yewwood.Action, err error) {
+func handle(in *instance, batch *wire.Batch, e *wire.Event, acts []balance.Action) (_ []balance.Action, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("%w: %v", errPanic, p)
--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -13,7 +13,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"yewwood.example/yewwood/internal/sidecar"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/sidecar"
 )
 
 func main() {
@@ -29,7 +30,7 @@
 	signal.Notify(hangup, syscall.SIGHUP) // before all else: unhandled it would end the program
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := sidecar.LoadConfig(os.Getenv)
+	cfg, err := config.LoadPlatform(os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -68,7 +69,7 @@
 // reload follows the discovery that the configuration names now. The rest of it is read at
 // the start only.
 func reload(d *sidecar.Discovery) {
-	cfg, err := sidecar.ReloadConfig(os.Getenv)
+	cfg, err := config.ReloadPlatform(os.Getenv)
 	if err != nil {
 		slog.Error("reload: keeping the configuration at hand", "err", err)
 		return
--- a/cmd/barleydrum/main_test.go
+++ b/cmd/barleydrum/main_test.go
@@ -24,7 +24,7 @@
 	os.Exit(m.Run())
 }
 
-const config = `{"name": "n1", "listen": "127.83.19.7:1", "discovery": "127.83.19.8:1", "seed": "1f",
+const platform = `{"name": "n1", "listen": "127.83.19.7:1", "discovery": "127.83.19.8:1", "seed": "1f",
 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 "known": {"generation": 1, "reset": true, "instances": [
  {"instanceId": "s", "hostPort": "127.83.19.9:1", "zone": "a", "lifecycle": "up"}]},
@@ -32,10 +32,10 @@
  "classes": [{"name": "read", "goalTimeNs": 100000000, "hardLimitNs": 200000000, "importance": 1, "semantics": "safe"}]}}`
 
 // program prepares the program with a configuration.
-func program(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+func program(t *testing.T, text string) (*exec.Cmd, *bytes.Buffer) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
@@ -53,7 +53,7 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	cmd, log := program(t, config)
+	cmd, log := program(t, platform)
 	cmd.Env = append(cmd.Env, "PROXY_LISTEN="+address)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -107,7 +107,7 @@
 			t.Errorf("%s was not asked", what)
 		}
 	}
-	text := strings.Replace(config, "127.83.19.7:1", "127.83.19.10:41763", 1)
+	text := strings.Replace(platform, "127.83.19.7:1", "127.83.19.10:41763", 1)
 	cmd, log := program(t, text)
 	var path string
 	for _, v := range cmd.Env {
@@ -153,7 +153,7 @@
 		{`"goalTimeNs": 100000000`, `"goalTimeNs": 0`, "Goal"},
 		{`"discovery": "127.83.19.8:1"`, `"discovery": "nowhere"`, "discovery"},
 	} {
-		cmd, log := program(t, strings.Replace(config, c.old, c.new, 1))
+		cmd, log := program(t, strings.Replace(platform, c.old, c.new, 1))
 		if err := cmd.Run(); err == nil || !strings.Contains(log.String(), c.want) {
 			t.Errorf("%s: ended with %v: %s", c.new, err, log)
 		}
--- /dev/null
+++ b/internal/config/platform_test.go
@@ -0,0 +1,39 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+func TestPlatformNamesTheSettingAtFault(t *testing.T) {
+	good := `{"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"instances": []}, "settings": ` + standin.Settings + "}"
+	c, err := ParsePlatform([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Classes["pay"] != 2 || c.Module.Classes[2].Semantics != balance.Unsafe || c.Seed != 0x1f || c.CallerConnections() != 341 || c.EndpointConnections() != 659 {
+		t.Errorf("config %+v", c)
+	}
+	for _, s := range []struct{ old, new, want string }{
+		{`"seed": "1f"`, `"seed": "xyz"`, "seed"},
+		{`"sockets": 1024`, `"sockets": 10`, "limits.sockets"},
+		{`"sockets": 1024`, `"sockets": "many"`, "limits.sockets"},
+		{`"instances": []`, `"instances": [{"instanceId": "s", "lifecycle": "odd"}]`, "known"},
+		{`"semantics": "keyed"`, `"semantics": "maybe"`, "semantics"},
+		{`"name": "pay"`, `"name": "read"`, "name"},
+		{`"settings"`, `"setting"`, "settings"},
+		{`{"name"`, `{name`, "invalid"},
+	} {
+		text := strings.Replace(good, s.old, s.new, 1)
+		if text == good {
+			t.Fatalf("%s is not in the text", s.old)
+		}
+		if _, err := ParsePlatform([]byte(text)); err == nil || !strings.Contains(err.Error(), s.want) {
+			t.Errorf("%s: error %v, want one with %q", s.new, err, s.want)
+		}
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -16,7 +16,9 @@
 	"sync"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
 )
 
 const (
@@ -34,79 +36,31 @@
 	maxList = 2 << 20 // the most bytes of a list: some ten thousand endpoints
 )
 
-// listing is a list of endpoints in discovery's form.
-type listing struct {
-	Generation uint64     `json:"generation"`
-	Reset      bool       `json:"reset"` // the whole list, not changes
-	Instances  []instance `json:"instances"`
-}
-
-type instance struct {
-	ID        string   `json:"instanceId"`
-	HostPort  string   `json:"hostPort"`
-	Zone      string   `json:"zone"`
-	Cell      int      `json:"cell"`
-	Lifecycle string   `json:"lifecycle"`
-	Weight    *float64 `json:"weight"`
-	StartedMS int64    `json:"startedAtMs"`
-}
-
-// The lifecycles of an instance.
-var states = map[string]yewwood.State{
-	"up": yewwood.InService, "draining": yewwood.Draining, "removed": yewwood.Gone,
-}
-
-func (l *listing) index() string { return strconv.FormatUint(l.Generation, 10) }
-
-// check returns an error for the first entry that can't be used.
-func (l *listing) check() error {
-	for i := range l.Instances {
-		in := &l.Instances[i]
-		if in.ID == "" {
-			return fmt.Errorf("instances[%d].instanceId: empty", i)
-		}
-		state, ok := states[in.Lifecycle]
-		if !ok {
-			return fmt.Errorf("instance %q: lifecycle: unknown value %q", in.ID, in.Lifecycle)
-		}
-		if err := checkAddress(in.HostPort); err != nil && state != yewwood.Gone {
-			return fmt.Errorf("instance %q: hostPort: %w", in.ID, err)
-		}
-		if in.Weight != nil && *in.Weight < 0 {
-			return fmt.Errorf("instance %q: weight: negative", in.ID)
-		}
-		if in.StartedMS < 0 || in.StartedMS > int64(1<<62)/1e6 {
-			return fmt.Errorf("instance %q: startedAtMs: out of range", in.ID)
-		}
-	}
-	return nil
-}
-
 // names gives instances and zones the numbers by which the module knows them.
 type names struct {
-	ids   map[string]yewwood.EndpointID
-	taken map[yewwood.EndpointID]bool
+	ids   map[string]balance.EndpointID
+	taken map[balance.EndpointID]bool
 	zones []string // those of the settings
 }
 
 func newNames(zones []string) *names {
 	return &names{
-		ids:   make(map[string]yewwood.EndpointID),
-		taken: make(map[yewwood.EndpointID]bool),
+		ids:   make(map[string]balance.EndpointID),
+		taken: make(map[balance.EndpointID]bool),
 		zones: zones,
 	}
 }
 
 // id hashes an instance's name, so that every sidecar has the same number for
 // it, also after a restart. A name whose number is taken is hashed again.
-func (n *names) id(name string) yewwood.EndpointID {
+func (n *names) id(name string) balance.EndpointID {
 	if id, ok := n.ids[name]; ok {
 		return id
 	}
 	h := fnv.New32a()
 	for {
 		io.WriteString(h, name)
-		if id := yewwood.EndpointID(h.Sum32()); !n.taken[id] {
+		if id := balance.EndpointID(h.Sum32()); !n.taken[id] {
 			n.ids[name], n.taken[id] = id, true
 			return id
 		}
@@ -132,24 +86,24 @@
 
 // entry is one endpoint of a list and its address.
 type entry struct {
-	yewwood.Endpoint
+	balance.Endpoint
 	name, addr string
 }
 
 // entries translates a list that has passed its check. It goes by name, so that
 // two names with one hash get the same numbers at every sidecar. The module's
 // clock reads Unix time, see Engine.
-func (n *names) entries(l *listing) []entry {
+func (n *names) entries(l *discovery.List) []entry {
 	list := slices.Clone(l.Instances)
-	slices.SortStableFunc(list, func(x, y instance) int { return cmp.Compare(x.ID, y.ID) })
+	slices.SortStableFunc(list, func(x, y discovery.Instance) int { return cmp.Compare(x.ID, y.ID) })
 	out := make([]entry, len(list))
 	for i, in := range list {
 		weight := 1.0
 		if in.Weight != nil {
 			weight = *in.Weight
 		}
-		out[i] = entry{name: in.ID, addr: in.HostPort, Endpoint: yewwood.Endpoint{
-			ID: n.id(in.ID), Zone: n.zone(in.Zone), Cell: in.Cell, State: states[in.Lifecycle],
+		out[i] = entry{name: in.ID, addr: in.HostPort, Endpoint: balance.Endpoint{
+			ID: n.id(in.ID), Zone: n.zone(in.Zone), Cell: in.Cell, State: discovery.States[in.Lifecycle],
 			Weight: weight, Started: time.Duration(in.StartedMS) * time.Millisecond,
 		}}
 	}
@@ -173,14 +127,14 @@
 }
 
 // NewDiscovery returns the Discovery of an engine.
-func NewDiscovery(c *Config, e *Engine) *Discovery {
+func NewDiscovery(c *config.Platform, e *Engine) *Discovery {
 	d := &Discovery{
 		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, late: pushAnswer, engine: e,
 		transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxAnswerHeader}, cancel: func() {},
 	}
 	d.client = &http.Client{Transport: d.transport}
-	if len(c.known.Instances) > 0 {
-		d.index = c.known.index()
+	if len(c.Known.Instances) > 0 {
+		d.index = c.Known.Index()
 	}
 	if d.asks {
 		d.wait, d.late = askWait, askAnswer
@@ -259,7 +213,7 @@
 		if d.failed {
 			slog.Info("discovery: back", "generation", l.Generation)
 		}
-		d.failed, d.index = false, l.index()
+		d.failed, d.index = false, l.Index()
 		if d.asks || l.Reset || len(l.Instances) > 0 {
 			d.engine.list(l)
 		}
@@ -268,7 +222,7 @@
 }
 
 // ask makes one call.
-func (d *Discovery) ask(ctx context.Context, addr string) (*listing, error) {
+func (d *Discovery) ask(ctx context.Context, addr string) (*discovery.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.wait+d.late)
 	defer cancel()
 	query := url.Values{}
@@ -295,11 +249,11 @@
 	case len(text) > maxList:
 		return nil, errors.New("list: too long")
 	}
-	l := new(listing)
+	l := new(discovery.List)
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
-	if err := l.check(); err != nil {
+	if err := l.Check(); err != nil {
 		return nil, fmt.Errorf("list %d: %w", l.Generation, err)
 	}
 	return l, nil
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -7,28 +7,30 @@
 	"hash/fnv"
 	"net/http"
 	"reflect"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
 )
 
 // follow runs discovery against a handler until the test ends.
-func follow(t *testing.T, known listing, h http.HandlerFunc) *Engine {
+func follow(t *testing.T, known discovery.List, h http.HandlerFunc) *Engine {
 	t.Helper()
 	return followConfig(t, testConfig(t, known), h)
 }
 
-func followConfig(t *testing.T, c *Config, h http.HandlerFunc) *Engine {
+func followConfig(t *testing.T, c *config.Platform, h http.HandlerFunc) *Engine {
 	t.Helper()
 	return followMoves(t, c, h).engine
 }
 
-func followMoves(t *testing.T, c *Config, h http.HandlerFunc) *Discovery {
+func followMoves(t *testing.T, c *config.Platform, h http.HandlerFunc) *Discovery {
 	t.Helper()
-	c.Discovery = backend(t, h)
+	c.Discovery = standin.HTTP(t, h)
 	e, err := NewEngine(c)
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +65,7 @@
 		var moves [2]string
 		for i := range moves {
 			var calls atomic.Int32
-			moves[i] = backend(t, func(w http.ResponseWriter, r *http.Request) {
+			moves[i] = standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 				if calls.Add(1) == 1 {
 					first <- r.URL.RawQuery
 					json.NewEncoder(w).Encode(up(fmt.Sprint("127.0.0.1:", 3+i)))
@@ -77,7 +79,7 @@
 		d := followMoves(t, c, func(_ http.ResponseWriter, r *http.Request) { hang(r) })
 		if asks {
 			d.engine.mu.Lock()
-			d.engine.act(&yewwood.Action{Kind: yewwood.Subscribe})
+			d.engine.act(&balance.Action{Kind: balance.Subscribe})
 			d.engine.mu.Unlock()
 		}
 		wait(t, asked, "call")
@@ -103,7 +105,7 @@
 	queries := make(chan string, 100)
 	news := up("127.0.0.1:2")
 	news.Generation = 0
-	follow(t, listing{}, func(w http.ResponseWriter, r *http.Request) {
+	follow(t, discovery.List{}, func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case queries <- r.URL.Query().Get("index"):
 		default:
@@ -163,7 +165,7 @@
 // Where discovery is asked, it is asked when the balancer says so, and a call that fails is
 // the balancer's to repeat: a fleet that asked again at once would keep discovery down.
 func TestAsksWhenTold(t *testing.T) {
-	c := testConfig(t, listing{})
+	c := testConfig(t, discovery.List{})
 	c.Module.AskDiscovery = true
 	calls, listed := 0, make(chan struct{})
 	e := followConfig(t, c, func(w http.ResponseWriter, r *http.Request) {
@@ -202,10 +204,10 @@
 		}
 		seen[hash(name)] = name
 	}
-	list := func(names ...string) *listing {
-		l := new(listing)
+	list := func(names ...string) *discovery.List {
+		l := new(discovery.List)
 		for _, n := range names {
-			l.Instances = append(l.Instances, instance{ID: n, Lifecycle: "up"})
+			l.Instances = append(l.Instances, discovery.Instance{ID: n, Lifecycle: "up"})
 		}
 		return l
 	}
@@ -238,33 +240,3 @@
 		t.Errorf("now is %v on the machine's clock", got)
 	}
 }
-
-func TestConfigNamesTheSettingAtFault(t *testing.T) {
-	good := `{"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
-"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"instances": []}, "settings": ` + testSettings + "}"
-	c, err := parseConfig([]byte(good))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if c.classes["pay"] != 2 || c.Module.Classes[2].Semantics != yewwood.Unsafe || c.Seed != 0x1f || c.callerConnections() != 341 || c.endpointConnections() != 659 {
-		t.Errorf("config %+v", c)
-	}
-	for _, s := range []struct{ old, new, want string }{
-		{`"seed": "1f"`, `"seed": "xyz"`, "seed"},
-		{`"sockets": 1024`, `"sockets": 10`, "limits.sockets"},
-		{`"sockets": 1024`, `"sockets": "many"`, "limits.sockets"},
-		{`"instances": []`, `"instances": [{"instanceId": "s", "lifecycle": "odd"}]`, "known"},
-		{`"semantics": "keyed"`, `"semantics": "maybe"`, "semantics"},
-		{`"name": "pay"`, `"name": "read"`, "name"},
-		{`"settings"`, `"setting"`, "settings"},
-		{`{"name"`, `{name`, "invalid"},
-	} {
-		text := strings.Replace(good, s.old, s.new, 1)
-		if text == good {
-			t.Fatalf("%s is not in the text", s.old)
-		}
-		if _, err := parseConfig([]byte(text)); err == nil || !strings.Contains(err.Error(), s.want) {
-			t.Errorf("%s: error %v, want one with %q", s.new, err, s.want)
-		}
-	}
-}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -10,7 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
 )
 
 // Engine owns the balancer. Every event goes to it under one lock, and its
@@ -24,12 +26,12 @@
 	ready      atomic.Bool   // it knows of endpoints
 
 	mu        sync.Mutex
-	balancer  *yewwood.Balancer
+	balancer  *balance.Balancer
 	names     *names
-	endpoints map[yewwood.EndpointID]*endpoint
-	calls     map[yewwood.RequestID]*call
-	last      yewwood.RequestID
-	actions   []yewwood.Action
+	endpoints map[balance.EndpointID]*endpoint
+	calls     map[balance.RequestID]*call
+	last      balance.RequestID
+	actions   []balance.Action
 }
 
 // endpoint is where an endpoint is reached.
@@ -44,7 +46,7 @@
 
 // call is a caller's request, until its last attempt has ended.
 type call struct {
-	yewwood.Request
+	balance.Request
 	method   string
 	url      *url.URL
 	host     string
@@ -68,7 +70,7 @@
 type attempt struct {
 	exchange
 	cancel   context.CancelCauseFunc
-	id       yewwood.EndpointID
+	id       balance.EndpointID
 	endpoint *endpoint
 	began    time.Time
 }
@@ -80,25 +82,25 @@
 }
 
 // NewEngine returns an Engine that knows the list in its configuration.
-func NewEngine(c *Config) (*Engine, error) {
-	b, err := yewwood.New(c.Module, c.Seed)
+func NewEngine(c *config.Platform) (*Engine, error) {
+	b, err := balance.New(c.Module, c.Seed)
 	if err != nil {
 		return nil, err
 	}
 	e := &Engine{
 		origin: time.Now(), pool: newPool(c), probePath: "/load",
 		subscribed: make(chan struct{}, 1),
-		balancer:   b, names: newNames(c.zones),
-		endpoints: make(map[yewwood.EndpointID]*endpoint),
-		calls:     make(map[yewwood.RequestID]*call),
+		balancer:   b, names: newNames(c.Zones),
+		endpoints: make(map[balance.EndpointID]*endpoint),
+		calls:     make(map[balance.RequestID]*call),
 	}
 	// The module's clock goes on from Unix time without steps, so that the time an
 	// endpoint started needs no conversion and is the same in every list.
 	e.epoch = time.Duration(e.origin.UnixNano())
-	if c.Module.Reporting == yewwood.ReportsNone {
+	if c.Module.Reporting == balance.ReportsNone {
 		e.probePath = "/healthz"
 	}
-	e.update(yewwood.ListRemember, &c.known)
+	e.update(balance.ListRemember, &c.Known)
 	return e, nil
 }
 
@@ -109,35 +111,35 @@
 func (e *Engine) at(t time.Duration) time.Time { return e.origin.Add(t - e.epoch) }
 
 // event gives the balancer an event and starts its actions.
-func (e *Engine) event(f func(now time.Duration, acts []yewwood.Action) []yewwood.Action) {
+func (e *Engine) event(f func(now time.Duration, acts []balance.Action) []balance.Action) {
 	e.actions = f(e.now(), e.actions[:0])
 	for i := range e.actions {
 		e.act(&e.actions[i])
 	}
 }
 
-func (e *Engine) act(a *yewwood.Action) {
+func (e *Engine) act(a *balance.Action) {
 	switch a.Kind {
-	case yewwood.Send:
+	case balance.Send:
 		e.send(a)
-	case yewwood.Cancel:
+	case balance.Cancel:
 		if c := e.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
 			c.attempts[a.Attempt].end(errCanceled)
 		}
-	case yewwood.Shed:
+	case balance.Shed:
 		e.answer(e.calls[a.Request], final{refused: true, retryAfter: a.Delay})
-	case yewwood.Fail:
+	case balance.Fail:
 		e.answer(e.calls[a.Request], final{})
-	case yewwood.SetTimer:
+	case balance.SetTimer:
 		timer := a.Timer
 		time.AfterFunc(a.Delay, func() { e.fired(timer) })
-	case yewwood.Probe:
+	case balance.Probe:
 		e.probe(a.Endpoint)
-	case yewwood.Release:
+	case balance.Release:
 		if to := e.endpoints[a.Endpoint]; to != nil {
 			e.pool.release(to.route, !to.left)
 		}
-	case yewwood.Subscribe:
+	case balance.Subscribe:
 		select {
 		case e.subscribed <- struct{}{}:
 		default:
@@ -170,7 +172,7 @@
 	c.ID = e.last
 	c.done = make(chan final, 1)
 	e.calls[c.ID] = c
-	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Request(now, c.Request, acts)
 	})
 }
@@ -188,7 +190,7 @@
 	defer e.mu.Unlock()
 	if !c.answered {
 		e.answer(c, final{})
-		e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 			return e.balancer.Abandoned(now, c.ID, acts)
 		})
 	}
@@ -196,7 +198,7 @@
 }
 
 // send starts an attempt.
-func (e *Engine) send(a *yewwood.Action) {
+func (e *Engine) send(a *balance.Action) {
 	c, to := e.calls[a.Request], e.endpoints[a.Endpoint]
 	if c == nil || to == nil {
 		return
@@ -231,30 +233,30 @@
 	defer e.mu.Unlock()
 	x := c.attempts[n]
 	c.out--
-	if a.result == yewwood.OK {
+	if a.result == balance.OK {
 		e.answer(c, final{served: true, answer: a})
 	}
-	o := yewwood.Outcome{
+	o := balance.Outcome{
 		Request: c.ID, Attempt: n, Endpoint: x.id, Result: a.result, Closed: c.answered,
 		Elapsed: time.Since(x.began), Load: a.load,
 	}
-	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Ended(now, o, acts)
 	})
 	e.forget(c)
 	e.unuse(x.id, x.endpoint)
 }
 
-func (e *Engine) fired(t yewwood.Timer) {
+func (e *Engine) fired(t balance.Timer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Fired(now, t, acts)
 	})
 }
 
 // probe starts a probe. Nothing new goes to an endpoint that has left, not even that.
-func (e *Engine) probe(id yewwood.EndpointID) {
+func (e *Engine) probe(id balance.EndpointID) {
 	to := e.endpoints[id]
 	if to == nil {
 		return
@@ -262,13 +264,13 @@
 	to.uses++
 	way, left := to.route, to.left
 	go func() {
-		a := answer{result: yewwood.NotSent}
+		a := answer{result: balance.NotSent}
 		if !left {
 			a = e.pool.probe(way, e.probePath)
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 			return e.balancer.Probed(now, id, a.result, a.load, acts)
 		})
 		e.unuse(id, to)
@@ -277,12 +279,12 @@
 
 // unuse ends a use of an endpoint. The last one of an endpoint that is gone drops it, as the
 // balancer does: over a long day there are ever new ones.
-func (e *Engine) unuse(id yewwood.EndpointID, to *endpoint) {
+func (e *Engine) unuse(id balance.EndpointID, to *endpoint) {
 	to.uses--
 	e.drop(id, to)
 }
 
-func (e *Engine) drop(id yewwood.EndpointID, to *endpoint) {
+func (e *Engine) drop(id balance.EndpointID, to *endpoint) {
 	if to.gone && to.uses == 0 && e.endpoints[id] == to {
 		delete(e.endpoints, id)
 		e.names.forget(to.name)
@@ -290,27 +292,27 @@
 }
 
 // list takes a list from discovery.
-func (e *Engine) list(l *listing) {
-	kind := yewwood.ListChanges
+func (e *Engine) list(l *discovery.List) {
+	kind := balance.ListChanges
 	if l.Reset {
-		kind = yewwood.ListFull
+		kind = balance.ListFull
 	}
 	e.update(kind, l)
 }
 
 // refused tells the balancer that a call to discovery has failed.
-func (e *Engine) refused() { e.update(yewwood.ListRefused, &listing{}) }
+func (e *Engine) refused() { e.update(balance.ListRefused, &discovery.List{}) }
 
-func (e *Engine) update(kind yewwood.ListKind, l *listing) {
+func (e *Engine) update(kind balance.ListKind, l *discovery.List) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if kind == yewwood.ListFull || kind == yewwood.ListRemember {
+	if kind == balance.ListFull || kind == balance.ListRemember {
 		for _, to := range e.endpoints {
 			to.left, to.gone = true, true
 		}
 	}
 	entries := e.names.entries(l)
-	list := make([]yewwood.Endpoint, len(entries))
+	list := make([]balance.Endpoint, len(entries))
 	for i, in := range entries {
 		list[i] = in.Endpoint
 		to := e.endpoints[in.ID]
@@ -321,13 +323,13 @@
 		// Connections to the old address or process are of no more use; one to a machine
 		// that vanished may stay open and silent, and the next request on it would be lost.
 		addr := cmp.Or(in.addr, to.addr)
-		if addr != to.addr || in.Started != to.started || to.closed && in.State == yewwood.InService {
+		if addr != to.addr || in.Started != to.started || to.closed && in.State == balance.InService {
 			e.pool.release(to.route, false)
 			to.route, to.started = &route{addr: addr}, in.Started
 		}
-		to.left, to.gone = in.State != yewwood.InService, in.State == yewwood.Gone
+		to.left, to.gone = in.State != balance.InService, in.State == balance.Gone
 	}
-	e.event(func(now time.Duration, acts []yewwood.Action) []yewwood.Action {
+	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Endpoints(now, kind, list, acts)
 	})
 	if len(e.endpoints) > 0 {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -15,7 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
 )
 
 const (
@@ -51,7 +52,7 @@
 
 // Server takes the callers' requests.
 type Server struct {
-	cfg      *Config
+	cfg      *config.Platform
 	engine   *Engine
 	http     http.Server
 	most     int           // connections
@@ -81,8 +82,8 @@
 )
 
 // NewServer returns a Server that hands its requests to an engine.
-func NewServer(c *Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, most: c.callerConnections(), linger: lingerTime,
+func NewServer(c *config.Platform, e *Engine) *Server {
+	s := &Server{cfg: c, engine: e, most: c.CallerConnections(), linger: lingerTime,
 		callers: make(map[net.Conn]*caller), ids: make(map[string]bool)}
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -213,7 +214,7 @@
 	s.draining.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
 	time.Sleep(s.linger)
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.longestDeadline()+shutdownSpare)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.LongestDeadline()+shutdownSpare)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil { // a caller that sent no whole request is owed nothing
 		slog.Warn("shutdown: connections left", "err", err)
@@ -344,15 +345,15 @@
 	}
 	var ok bool
 	class := r.Header.Get("X-Priority-Class")
-	if c.Class, ok = s.cfg.classes[class]; !ok {
+	if c.Class, ok = s.cfg.Classes[class]; !ok {
 		return nil, fmt.Errorf("X-Priority-Class: unknown class %.40q", class)
 	}
 	// A keyed request without its key would be sent again to endpoints that can't tell it for a repeat.
-	if s.cfg.Module.Classes[c.Class].Semantics == yewwood.Keyed && r.Header.Get("Idempotency-Key") == "" {
+	if s.cfg.Module.Classes[c.Class].Semantics == balance.Keyed && r.Header.Get("Idempotency-Key") == "" {
 		return nil, fmt.Errorf("Idempotency-Key: missing for class %q", class)
 	}
-	if tenant := r.Header.Get("X-Tenant-Id"); tenant != "" && len(s.cfg.tenants) > 0 {
-		if c.Tenant, ok = s.cfg.tenants[tenant]; !ok {
+	if tenant := r.Header.Get("X-Tenant-Id"); tenant != "" && len(s.cfg.Tenants) > 0 {
+		if c.Tenant, ok = s.cfg.Tenants[tenant]; !ok {
 			return nil, fmt.Errorf("X-Tenant-Id: unknown tenant %.40q", tenant)
 		}
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -16,44 +16,34 @@
 	"testing"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
 )
 
 // patience is how long a test waits for what must happen: no verdict leans on it being short.
 const patience = 20 * time.Second
 
-// testSettings has a class of each kind. Reports come in answers only, so that no
-// probe is needed before a request goes out.
-const testSettings = `{"balancers": 1, "me": 0, "tier": 0, "zone": 0, "zones": ["a", "b"],
-"classes": [
- {"name": "read", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "safe"},
- {"name": "book", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "keyed",
-  "keyScope": "all", "repeatWindowNs": 30000000000},
- {"name": "pay", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "unsafe"}],
-"tenants": [{"name": "acme", "share": 1, "quotaPerS": 0}],
-"limits": {"attemptsCap": 3, "cancel": true, "secondCopies": true, "connectTimeoutNs": 5000000000, "keepaliveNs": 60000000000},
-"loadInfo": {"fields": ["busy_reqs"], "how": "piggyback"},
-"rules": {"drainGraceNs": 500000000}, "discovery": "push", "stepNs": 1000000}`
-
 // up lists endpoints at these addresses, in service.
-func up(addrs ...string) listing {
-	l := listing{Generation: 1, Reset: true}
+func up(addrs ...string) discovery.List {
+	l := discovery.List{Generation: 1, Reset: true}
 	for i, addr := range addrs {
-		l.Instances = append(l.Instances, instance{ID: fmt.Sprintf("s-%d", i), HostPort: addr, Zone: "a", Lifecycle: "up"})
+		l.Instances = append(l.Instances, discovery.Instance{ID: fmt.Sprintf("s-%d", i), HostPort: addr, Zone: "a", Lifecycle: "up"})
 	}
 	return l
 }
 
-func testConfig(t *testing.T, known listing) *Config {
+func testConfig(t *testing.T, known discovery.List) *config.Platform {
 	t.Helper()
 	text, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
-		"known": known, "settings": json.RawMessage(testSettings),
+		"known": known, "settings": json.RawMessage(standin.Settings),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := parseConfig(text)
+	c, err := config.ParsePlatform(text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +59,7 @@
 	served chan error
 }
 
-func start(t *testing.T, c *Config) *proxy {
+func start(t *testing.T, c *config.Platform) *proxy {
 	t.Helper()
 	e, err := NewEngine(c)
 	if err != nil {
@@ -88,21 +78,18 @@
 // newRequest returns a request as a client sends it.
 func newRequest(ctx context.Context, t *testing.T, url, class, body string) *http.Request {
 	t.Helper()
-	method := http.MethodPost
-	if class == "read" {
-		method = http.MethodGet
+	o := standin.Order{
+		ID: "9b1f03aa5c7e2d41", Class: class, Tenant: "acme", Path: "a%2Fb?x=1", Body: body, Timeout: patience,
+	}
+	if class == "book" {
+		o.Key = "5c0f"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, url+"/api/a%2Fb?x=1", strings.NewReader(body))
+	req, err := standin.NewRequest(ctx, strings.TrimPrefix(url, "http://"), o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, value := range map[string]string{
-		"X-Request-ID": "9b1f03aa5c7e2d41", "X-Priority-Class": class, "X-Tenant-Id": "acme", "X-Timeout": "20000m",
-	} {
-		req.Header.Set(name, value)
-	}
-	if class == "book" {
-		req.Header.Set("Idempotency-Key", "5c0f")
+	if class == "pay" {
+		req.Method = http.MethodPost
 	}
 	return req
 }
@@ -126,43 +113,6 @@
 	return newRequest(context.Background(), p.t, p.url, class, body)
 }
 
-// backend serves one endpoint by a handler.
-func backend(t *testing.T, h http.HandlerFunc) string {
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
-}
-
-// raw serves each connection of an endpoint by f.
-func raw(t *testing.T, f func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
-// readRequest reads a request whole.
-func readRequest(c net.Conn, in *bufio.Reader) error {
-	r, err := http.ReadRequest(in)
-	if err != nil {
-		return err
-	}
-	_, err = io.Copy(io.Discard, r.Body)
-	return err
-}
-
 func wait(t *testing.T, c <-chan struct{}, what string) {
 	t.Helper()
 	select {
@@ -175,7 +125,7 @@
 // What must go on unchanged does, and so does the answer's body.
 func TestServes(t *testing.T) {
 	answer := "\x1f\x8bnot gzip\x00"
-	addr := backend(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		_, timed := parseTimeout(r.Header.Get("X-Timeout"))
 		if r.RequestURI != "/api/a%2Fb?x=1" || r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" || !timed ||
@@ -213,10 +163,10 @@
 	} {
 		t.Run(fmt.Sprint(c.method, len(c.body)), func(t *testing.T) {
 			var came atomic.Int32
-			addr := raw(t, func(c net.Conn) {
+			addr := standin.TCP(t, func(c net.Conn) {
 				defer c.Close()
 				in := bufio.NewReader(c)
-				for n := 0; readRequest(c, in) == nil; n++ {
+				for n := 0; standin.ReadRequest(in) == nil; n++ {
 					came.Add(1)
 					if n == 1 { // the first on this connection is answered, the second is read and dropped
 						return
@@ -224,7 +174,7 @@
 					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 				}
 			})
-			p, to := newPool(testConfig(t, listing{})), &route{addr: addr}
+			p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
 			defer p.release(to, false)
 			do := func() answer {
 				req, err := http.NewRequest(c.method, "http://"+addr+"/", nil)
@@ -234,10 +184,10 @@
 				req.Header.Set("Idempotency-Key", "k")
 				return (&exchange{ctx: context.Background()}).do(p, to, req, []byte(c.body))
 			}
-			if a := do(); a.result != yewwood.OK || string(a.body) != "ok" {
+			if a := do(); a.result != balance.OK || string(a.body) != "ok" {
 				t.Fatalf("first: %+v", a)
 			}
-			if a := do(); a.result != yewwood.Reset {
+			if a := do(); a.result != balance.Reset {
 				t.Errorf("second: %+v, want a reset", a)
 			}
 			if n := came.Load(); n != 2 {
@@ -257,14 +207,14 @@
 		for _, late := range []bool{false, true} {
 			came := make(chan struct{}, 2)
 			var conns atomic.Int32
-			addr := raw(t, func(c net.Conn) {
+			addr := standin.TCP(t, func(c net.Conn) {
 				defer c.Close()
 				body := "first"
 				if conns.Add(1) > 1 {
 					body = "second"
 				}
 				in := bufio.NewReader(c)
-				for readRequest(c, in) == nil {
+				for standin.ReadRequest(in) == nil {
 					if late {
 						io.WriteString(c, ok(body))
 						time.Sleep(time.Millisecond)
@@ -276,14 +226,14 @@
 					body = "second"
 				}
 			})
-			p, to := newPool(testConfig(t, listing{})), &route{addr: addr}
+			p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
 			for _, want := range []string{"first", "second"} {
 				req, err := http.NewRequest("POST", "http://"+addr+"/", nil)
 				if err != nil {
 					t.Fatal(err)
 				}
 				a := (&exchange{ctx: context.Background()}).do(p, to, req, []byte("x"))
-				if a.result != yewwood.OK || string(a.body) != want {
+				if a.result != balance.OK || string(a.body) != want {
 					t.Errorf("%s, late %v: %d %q, want %q", name, late, a.result, a.body, want)
 				}
 				wait(t, came, "answer")
@@ -300,15 +250,15 @@
 // endpoint is to blame where none does.
 func TestConnectionsGiveWay(t *testing.T) {
 	hello := func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
-	p := newPool(testConfig(t, listing{}))
+	p := newPool(testConfig(t, discovery.List{}))
 	p.slots = make(chan struct{}, 2)
 	p.dialer.Timeout = 50 * time.Millisecond
 	var routes [3]*route
 	for i := range routes {
-		routes[i] = &route{addr: backend(t, hello)}
+		routes[i] = &route{addr: standin.HTTP(t, hello)}
 		defer p.release(routes[i], false)
 	}
-	do := func(to *route) yewwood.Result {
+	do := func(to *route) balance.Result {
 		req, err := http.NewRequest("POST", "http://"+to.addr+"/", nil)
 		if err != nil {
 			t.Fatal(err)
@@ -316,7 +266,7 @@
 		return (&exchange{ctx: context.Background()}).do(p, to, req, nil).result
 	}
 	for i, to := range routes {
-		if got := do(to); got != yewwood.OK {
+		if got := do(to); got != balance.OK {
 			t.Errorf("endpoint %d: result %d", i, got)
 		}
 	}
@@ -327,13 +277,13 @@
 	if held[0] == nil || held[1] == nil {
 		t.Fatal("the others are not")
 	}
-	if got := do(routes[0]); got != yewwood.NotSent {
-		t.Errorf("result %d with no slot left, want %d", got, yewwood.NotSent)
+	if got := do(routes[0]); got != balance.NotSent {
+		t.Errorf("result %d with no slot left, want %d", got, balance.NotSent)
 	}
 	for _, c := range held {
 		c.Close()
 	}
-	if got := do(routes[0]); got != yewwood.OK {
+	if got := do(routes[0]); got != balance.OK {
 		t.Errorf("result %d with slots left", got)
 	}
 }
@@ -341,9 +291,9 @@
 // Connections that stand idle are closed before the endpoint closes them, also those that
 // fell idle later.
 func TestIdleConnectionsExpire(t *testing.T) {
-	p := newPool(testConfig(t, listing{}))
+	p := newPool(testConfig(t, discovery.List{}))
 	p.keepAlive = 20 * time.Millisecond
-	to := &route{addr: raw(t, func(c net.Conn) { io.Copy(io.Discard, c) })}
+	to := &route{addr: standin.TCP(t, func(c net.Conn) { io.Copy(io.Discard, c) })}
 	for range 3 {
 		for range 2 {
 			c, err := p.dial(context.Background(), to)
@@ -380,7 +330,7 @@
 	s.Start()
 	t.Cleanup(s.Close)
 	addr := s.Listener.Addr().String()
-	list := func(id string) *listing {
+	list := func(id string) *discovery.List {
 		l := up(addr)
 		l.Instances[0].ID = id
 		return &l
@@ -413,7 +363,7 @@
 		status <- resp.StatusCode
 	}()
 	wait(t, began, "attempt")
-	p.engine.list(&listing{Generation: 2, Instances: []instance{{ID: "s-9", Lifecycle: "removed"}}})
+	p.engine.list(&discovery.List{Generation: 2, Instances: []discovery.Instance{{ID: "s-9", Lifecycle: "removed"}}})
 	if n := known(); n != 1 {
 		t.Errorf("%d endpoints are known while one answers, want 1", n)
 	}
@@ -432,9 +382,9 @@
 // An outcome that proves a request never ran lets it be sent again; in doubt, it may have run.
 func TestOutcomes(t *testing.T) {
 	reply := func(text string) string {
-		return raw(t, func(c net.Conn) {
+		return standin.TCP(t, func(c net.Conn) {
 			defer c.Close()
-			if readRequest(c, bufio.NewReader(c)) == nil {
+			if standin.ReadRequest(bufio.NewReader(c)) == nil {
 				io.WriteString(c, text)
 			}
 		})
@@ -442,7 +392,7 @@
 	endless := func(start, more string) func(net.Conn) { // and its connection stays open
 		return func(c net.Conn) {
 			defer c.Close()
-			if readRequest(c, bufio.NewReader(c)) != nil {
+			if standin.ReadRequest(bufio.NewReader(c)) != nil {
 				return
 			}
 			more := []byte(strings.Repeat(more, 1000))
@@ -457,46 +407,46 @@
 	}
 	closed := l.Addr().String() // once all others listen, so that none gets its port
 	silence := make(chan struct{}, 1)
-	silent := raw(t, func(c net.Conn) {
+	silent := standin.TCP(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
-		if readRequest(c, in) == nil {
+		if standin.ReadRequest(in) == nil {
 			silence <- struct{}{}
 		}
 		io.Copy(io.Discard, in)
 	})
 	cases := map[string]struct {
 		addr string
-		want yewwood.Result
+		want balance.Result
 	}{
-		"served":          {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), yewwood.OK},
-		"error":           {reply("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
-		"503":             {reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
-		"503 not run":     {reply("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Rejected},
-		"504 not run":     {reply("HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Rejected},
-		"500 not run":     {reply("HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), yewwood.Error},
-		"no answer":       {reply(""), yewwood.Reset},
-		"half a header":   {reply("HTTP/1.1 200 OK\r\nContent-Le"), yewwood.Reset},
-		"short body":      {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), yewwood.Reset},
-		"short chunk":     {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok"), yewwood.Reset},
-		"no HTTP":         {reply("hello\r\n"), yewwood.Error},
-		"oversized":       {reply("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)), yewwood.Error},
-		"3 GB":            {raw(t, endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x")), yewwood.Error},
-		"endless header":  {raw(t, endless("HTTP/1.1 200 OK\r\n", "X-A: b\r\n")), yewwood.Error},
-		"endless line":    {raw(t, endless("HTTP/1.1 200 OK\r\nX: ", "x")), yewwood.Error},
-		"endless chunks":  {raw(t, endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")), yewwood.Error},
-		"endless 1xx":     {raw(t, endless("", "HTTP/1.1 102 Wait\r\n\r\n")), yewwood.Error},
-		"endless noise":   {raw(t, endless("", "\x00\xff")), yewwood.Error},
-		"some 1xx":        {reply(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), yewwood.OK},
-		"protocol change": {reply("HTTP/1.1 101 Switching\r\n\r\nok"), yewwood.Error},
-		"two lengths":     {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"), yewwood.Error},
-		"both lengths":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), yewwood.Error},
-		"negative length": {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), yewwood.Error},
-		"no length":       {reply("HTTP/1.1 200 OK\r\n\r\nok"), yewwood.Error},
-		"until the close": {reply("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"), yewwood.OK},
-		"bad report":      {reply("HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=?\r\nContent-Length: 2\r\n\r\nok"), yewwood.OK},
-		"refused":         {closed, yewwood.ConnectFailed},
-		"silent":          {silent, yewwood.Timeout},
-		"barred at start": {silent, yewwood.ConnectFailed},
+		"served":          {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
+		"error":           {reply("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"503":             {reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"503 not run":     {reply("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
+		"504 not run":     {reply("HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
+		"500 not run":     {reply("HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"no answer":       {reply(""), balance.Reset},
+		"half a header":   {reply("HTTP/1.1 200 OK\r\nContent-Le"), balance.Reset},
+		"short body":      {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), balance.Reset},
+		"short chunk":     {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok"), balance.Reset},
+		"no HTTP":         {reply("hello\r\n"), balance.Error},
+		"oversized":       {reply("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)), balance.Error},
+		"3 GB":            {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x")), balance.Error},
+		"endless header":  {standin.TCP(t, endless("HTTP/1.1 200 OK\r\n", "X-A: b\r\n")), balance.Error},
+		"endless line":    {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nX: ", "x")), balance.Error},
+		"endless chunks":  {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")), balance.Error},
+		"endless 1xx":     {standin.TCP(t, endless("", "HTTP/1.1 102 Wait\r\n\r\n")), balance.Error},
+		"endless noise":   {standin.TCP(t, endless("", "\x00\xff")), balance.Error},
+		"some 1xx":        {reply(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
+		"protocol change": {reply("HTTP/1.1 101 Switching\r\n\r\nok"), balance.Error},
+		"two lengths":     {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"), balance.Error},
+		"both lengths":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), balance.Error},
+		"negative length": {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), balance.Error},
+		"no length":       {reply("HTTP/1.1 200 OK\r\n\r\nok"), balance.Error},
+		"until the close": {reply("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"), balance.OK},
+		"bad report":      {reply("HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=?\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
+		"refused":         {closed, balance.ConnectFailed},
+		"silent":          {silent, balance.Timeout},
+		"barred at start": {silent, balance.ConnectFailed},
 	}
 	l.Close()
 	for name, c := range cases {
@@ -517,7 +467,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if a := x.do(newPool(testConfig(t, listing{})), &route{addr: c.addr}, req, []byte("body")); a.result != c.want {
+			if a := x.do(newPool(testConfig(t, discovery.List{})), &route{addr: c.addr}, req, []byte("body")); a.result != c.want {
 				t.Errorf("result %d, want %d", a.result, c.want)
 			}
 		})
@@ -527,20 +477,20 @@
 // Once barred, a request does not go out on whatever connection there is for it.
 func TestBarredWritesNothing(t *testing.T) {
 	got := make(chan int, 1)
-	addr := raw(t, func(c net.Conn) {
+	addr := standin.TCP(t, func(c net.Conn) {
 		defer c.Close()
 		n, _ := c.Read(make([]byte, 1))
 		got <- n
 	})
-	p, to := newPool(testConfig(t, listing{})), &route{addr: addr}
+	p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
 	x := &exchange{ctx: context.Background()}
 	x.bar()
 	req, err := http.NewRequest("POST", "http://"+addr+"/", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if a := x.do(p, to, req, []byte("body")); a.result != yewwood.ConnectFailed {
-		t.Errorf("result %d, want %d", a.result, yewwood.ConnectFailed)
+	if a := x.do(p, to, req, []byte("body")); a.result != balance.ConnectFailed {
+		t.Errorf("result %d, want %d", a.result, balance.ConnectFailed)
 	}
 	p.release(to, false)
 	if n := <-got; n != 0 {
@@ -551,7 +501,7 @@
 // A break before the request's last byte is written proves that it never ran.
 func TestBreakWhileWriting(t *testing.T) {
 	here, there := net.Pipe()
-	p, to := newPool(testConfig(t, listing{})), &route{}
+	p, to := newPool(testConfig(t, discovery.List{})), &route{}
 	p.slots <- struct{}{}
 	c := &conn{Conn: here, in: bufio.NewReader(here), to: to, pool: p}
 	go func() {
@@ -563,8 +513,8 @@
 		t.Fatal(err)
 	}
 	a := (&exchange{ctx: context.Background()}).carry(c, req, []byte(strings.Repeat("x", maxBody)))
-	if a.result != yewwood.ConnectFailed {
-		t.Errorf("result %d, want %d", a.result, yewwood.ConnectFailed)
+	if a.result != balance.ConnectFailed {
+		t.Errorf("result %d, want %d", a.result, balance.ConnectFailed)
 	}
 }
 
@@ -572,9 +522,9 @@
 // one that never ran goes to another endpoint.
 func TestUnsafe(t *testing.T) {
 	var ran atomic.Int32
-	drops := raw(t, func(c net.Conn) {
+	drops := standin.TCP(t, func(c net.Conn) {
 		defer c.Close()
-		if readRequest(c, bufio.NewReader(c)) == nil {
+		if standin.ReadRequest(bufio.NewReader(c)) == nil {
 			ran.Add(1)
 		}
 	})
@@ -589,7 +539,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}
-	p = start(t, testConfig(t, up(backend(t, full), backend(t, full))))
+	p = start(t, testConfig(t, up(standin.HTTP(t, full), standin.HTTP(t, full))))
 	if resp, _ := p.send(p.request("pay", "x")); resp.StatusCode != 200 || turned.Load() != 2 {
 		t.Errorf("%s after %d attempts, want a 200 after 2", resp.Status, turned.Load())
 	}
@@ -598,7 +548,7 @@
 // A request that never ran and that nobody will take is refused at once, and its client is
 // told when to come back.
 func TestRefusedAtOnce(t *testing.T) {
-	c := testConfig(t, listing{})
+	c := testConfig(t, discovery.List{})
 	c.Module.Limits.MaxRetryAfter = 1500 * time.Millisecond
 	p := start(t, c)
 	req := p.request("pay", "x")
@@ -610,7 +560,7 @@
 
 // Bad input reaches neither the balancer nor an endpoint.
 func TestBadRequests(t *testing.T) {
-	addr := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
+	addr := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
 	p := start(t, testConfig(t, up(addr)))
 	for name, c := range map[string]struct {
 		spoil func(r *http.Request)
@@ -646,7 +596,7 @@
 
 // A request whose end can be read in two ways may hide another: neither is passed on.
 func TestHiddenRequest(t *testing.T) {
-	addr := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
+	addr := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
 	p := start(t, testConfig(t, up(addr)))
 	const head = "POST /api/a HTTP/1.%d\r\nHost: a\r\nX-Request-ID: 1\r\nX-Priority-Class: book\r\nIdempotency-Key: k\r\n"
 	hidden := fmt.Sprintf(head, 1) + "Content-Length: 0\r\n\r\n"
@@ -683,7 +633,7 @@
 // A client that has gone is owed nothing: its attempt's connection is closed.
 func TestClientGone(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
-	addr := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+	addr := standin.HTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		close(began)
 		<-r.Context().Done()
@@ -703,7 +653,7 @@
 
 // An attempt that waits for a connection must not go out once its endpoint has left.
 func TestLeftWhileDialing(t *testing.T) {
-	leaving := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it went out late") })
+	leaving := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it went out late") })
 	p := start(t, testConfig(t, up(leaving)))
 	pool := p.engine.pool
 	for range cap(pool.slots) { // it waits for one
@@ -719,7 +669,7 @@
 		waiting = pool.waiting
 		pool.mu.Unlock()
 	}
-	taken := backend(t, func(http.ResponseWriter, *http.Request) {})
+	taken := standin.HTTP(t, func(http.ResponseWriter, *http.Request) {})
 	l := up(leaving, taken)
 	l.Reset, l.Instances[0].Lifecycle = false, "draining"
 	p.engine.list(&l)
@@ -739,7 +689,7 @@
 // An endpoint's address may change under its id.
 func TestAddressChanges(t *testing.T) {
 	who := func(name string) string {
-		return backend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
+		return standin.HTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, name) })
 	}
 	first, second := up(who("first")), up(who("second"))
 	p := start(t, testConfig(t, first))
@@ -781,7 +731,7 @@
 func TestShutdown(t *testing.T) {
 	var once sync.Once
 	began, finish := make(chan struct{}), make(chan struct{})
-	addr := backend(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		once.Do(func() { close(began) })
 		<-finish
@@ -832,11 +782,11 @@
 
 // Idle callers must not keep a new one out.
 func TestIdleCallersGiveWay(t *testing.T) {
-	addr := backend(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	addr := standin.HTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	c := testConfig(t, up(addr))
-	c.Limits.Sockets = leastSockets
+	c.Limits.Sockets = config.LeastSockets
 	p := start(t, c)
-	for i := range 2 * c.callerConnections() {
+	for i := range 2 * c.CallerConnections() {
 		own := &http.Transport{}
 		defer own.CloseIdleConnections()
 		resp, err := own.RoundTrip(p.request("read", ""))
@@ -869,10 +819,10 @@
 // Callers that say nothing, or half of something, must not shut out one that asks.
 func TestBadCallersGiveWay(t *testing.T) {
 	for _, text := range []string{"", "POST /api/a HTTP/1.1\r\nHost:"} {
-		c := testConfig(t, up(backend(t, func(http.ResponseWriter, *http.Request) {})))
-		c.Limits.Sockets = leastSockets
+		c := testConfig(t, up(standin.HTTP(t, func(http.ResponseWriter, *http.Request) {})))
+		c.Limits.Sockets = config.LeastSockets
 		p := start(t, c)
-		for range 20 * c.callerConnections() {
+		for range 20 * c.CallerConnections() {
 			p.dial(text)
 		}
 		own := &http.Transport{}
@@ -896,7 +846,7 @@
 	if headTime+bodyTime >= 3*time.Second {
 		t.Errorf("%v for a header and %v for a body come to 3 s", headTime, bodyTime)
 	}
-	addr := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
+	addr := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
 	p := start(t, testConfig(t, up(addr)))
 	const head = "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Priority-Class: book\r\nIdempotency-Key: k\r\n"
 	for name, text := range map[string]string{
@@ -921,7 +871,7 @@
 // A request with the id of one that is open is turned away; once that is answered, it is free.
 func TestOpenID(t *testing.T) {
 	began, finish := make(chan struct{}, 2), make(chan struct{})
-	p := start(t, testConfig(t, up(backend(t, func(_ http.ResponseWriter, r *http.Request) {
+	p := start(t, testConfig(t, up(standin.HTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		began <- struct{}{}
 		<-finish
@@ -946,7 +896,7 @@
 
 // Nobody waits for longer than the class's deadline: no timer is held for longer either.
 func TestTimeoutIsBounded(t *testing.T) {
-	p := start(t, testConfig(t, listing{}))
+	p := start(t, testConfig(t, discovery.List{}))
 	req := p.request("read", "")
 	req.Header.Set("X-Timeout", "3000000m")
 	c, err := p.server.parse(req)
@@ -959,7 +909,7 @@
 // time: an answer must come within what is left, not within as much again.
 func TestPipelinedTime(t *testing.T) {
 	began, finish := make(chan struct{}, 2), make(chan struct{})
-	p := start(t, testConfig(t, up(backend(t, func(_ http.ResponseWriter, r *http.Request) {
+	p := start(t, testConfig(t, up(standin.HTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		began <- struct{}{}
 		<-finish
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,7 +16,8 @@
 	"sync/atomic"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
 )
 
 const (
@@ -36,10 +37,10 @@
 )
 
 // newPool returns the pool of a sidecar.
-func newPool(c *Config) *pool {
+func newPool(c *config.Platform) *pool {
 	p := &pool{
 		dialer: net.Dialer{Timeout: cmp.Or(c.Module.Limits.ConnectTimeout, defaultConnectTimeout)},
-		slots:  make(chan struct{}, c.endpointConnections()),
+		slots:  make(chan struct{}, c.EndpointConnections()),
 	}
 	// Idle connections must close here first: a request written as the endpoint
 	// closes is reset, and may have run for all that is known.
@@ -66,8 +67,8 @@
 
 // answer is what came back of an exchange.
 type answer struct {
-	result      yewwood.Result
-	load        *yewwood.Load
+	result      balance.Result
+	load        *balance.Load
 	contentType string
 	body        []byte
 }
@@ -111,36 +112,36 @@
 		return answer{result: x.failure(true, err)}
 	}
 	a := answer{
-		result: yewwood.Error, contentType: resp.Header.Get("Content-Type"), body: got,
+		result: balance.Error, contentType: resp.Header.Get("Content-Type"), body: got,
 		load: parseLoad(resp.Header.Get("X-Server-Load")),
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		a.result = yewwood.OK
+		a.result = balance.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if resp.Header.Get("X-Not-Processed") == "1" {
-			a.result = yewwood.Rejected
+			a.result = balance.Rejected
 		}
 	}
 	return a
 }
 
 // failure tells how an exchange without a usable answer ended. What was sent whole may have run.
-func (x *exchange) failure(sent bool, err error) yewwood.Result {
+func (x *exchange) failure(sent bool, err error) balance.Result {
 	cause := context.Cause(x.ctx)
 	switch {
 	case cause == errCanceled:
-		return yewwood.Canceled
+		return balance.Canceled
 	case !sent && (cause == errLeft || errors.Is(err, errNoSlot)): // through no fault of the endpoint
-		return yewwood.NotSent
+		return balance.NotSent
 	case !sent:
-		return yewwood.ConnectFailed
+		return balance.ConnectFailed
 	case errors.As(err, new(spoilt)):
-		return yewwood.Error
+		return balance.Error
 	case cause != nil:
-		return yewwood.Timeout
+		return balance.Timeout
 	default:
-		return yewwood.Reset
+		return balance.Reset
 	}
 }
 
@@ -154,7 +155,7 @@
 		URL: &url.URL{Scheme: "http", Host: to.addr, Path: path},
 	}
 	a := x.do(p, to, req, nil)
-	if a.result == yewwood.OK && a.load == nil {
+	if a.result == balance.OK && a.load == nil {
 		a.load = parseLoad(string(a.body))
 	}
 	return a
@@ -163,12 +164,12 @@
 // parseLoad reads a load report, such as "TEXT busy_reqs=7, pending=2". It returns
 // nil for none, and for one that is malformed. A field has the name that the settings
 // give it, or the protocol's own; taking only the latter left every report empty.
-func parseLoad(text string) *yewwood.Load {
+func parseLoad(text string) *balance.Load {
 	text, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
 	if !ok {
 		return nil
 	}
-	l := &yewwood.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
+	l := &balance.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
 	fields := map[string]*float64{
 		"busy_reqs": &l.InFlight, "pending": &l.Queue, "cpu_share": &l.Util,
 		"svc_ms": &l.LatencyMS, "served_ps": &l.Served, "failed_ps": &l.Failed,
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -9,7 +9,8 @@
 	"testing"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/standin"
 )
 
 // Whatever an endpoint sends, the exchange ends, and what is served has a 200 and an end.
@@ -26,7 +27,7 @@
 		p := &pool{slots: make(chan struct{}, 1), keepAlive: time.Hour}
 		p.slots <- struct{}{}
 		go func() {
-			if readRequest(there, bufio.NewReader(there)) == nil {
+			if standin.ReadRequest(bufio.NewReader(there)) == nil {
 				there.Write(text)
 			}
 			there.Close()
@@ -37,7 +38,7 @@
 		}
 		to := new(route)
 		a := (&exchange{ctx: context.Background()}).carry(&conn{Conn: here, in: bufio.NewReader(here), to: to, pool: p}, req, []byte("x"))
-		if len(a.body) > maxBody || a.result == yewwood.ConnectFailed || a.result == yewwood.NotSent {
+		if len(a.body) > maxBody || a.result == balance.ConnectFailed || a.result == balance.NotSent {
 			t.Errorf("%q: result %d, %d bytes", text, a.result, len(a.body))
 		}
 		p.release(to, false)
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,241 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/discovery"
+)
+
+// Fault is what a node does to the requests that reach it.
+type Fault int
+
+// The faults.
+const (
+	Well     Fault = iota
+	TurnAway       // 503 with X-Not-Processed: it has not run
+	Fail           // 500: it has run
+	Drop           // the connection closes after the request has run
+	Stall          // nothing, until the fault ends: then it runs
+	Garble         // it runs, and its answer can't be read
+)
+
+// NodeConfig says what a node is.
+type NodeConfig struct {
+	ID, Zone string
+	Addr     string        // of loopback; ":0" picks a port
+	Slots    int           // requests in work together; 0 is 1
+	Queue    int           // requests that wait beyond them
+	Work     time.Duration // for each request
+	Ledger   *Ledger       // shared by the nodes of a tier; nil notes nothing
+
+	// Next carries a request on to the next tier, through a sidecar of the node's own; nil for
+	// the last tier. An error fails the request.
+	Next func(ctx context.Context, r *http.Request) error
+}
+
+// Node is one endpoint of a tier.
+type Node struct {
+	cfg   NodeConfig
+	slots chan struct{}
+
+	mu       sync.Mutex
+	addr     string
+	server   *http.Server
+	fault    Fault
+	mended   chan struct{} // closed as the fault changes
+	inFlight int
+	started  time.Time
+}
+
+// NewNode starts a node.
+func NewNode(cfg NodeConfig) (*Node, error) {
+	cfg.Slots = max(cfg.Slots, 1)
+	n := &Node{cfg: cfg, slots: make(chan struct{}, cfg.Slots), addr: cfg.Addr, mended: make(chan struct{})}
+	if err := n.Start(); err != nil {
+		return nil, err
+	}
+	n.started = time.Time{} // it has run for long
+	return n, nil
+}
+
+// Start has a node that was stopped listen again at its address, as a new process.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, err := net.Listen("tcp", n.addr)
+	if err != nil {
+		return fmt.Errorf("stand-in node %s: %w", n.cfg.ID, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", n.load)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/api/", n.serve)
+	n.addr, n.server, n.started = l.Addr().String(), &http.Server{Handler: mux}, time.Now()
+	go n.server.Serve(l)
+	return nil
+}
+
+// Stop ends the node's process: its connections break and new ones are refused.
+func (n *Node) Stop() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.server.Close()
+}
+
+// Set has the node show a fault, or none.
+func (n *Node) Set(f Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fault = f
+	close(n.mended)
+	n.mended = make(chan struct{})
+}
+
+// Entry is the node as discovery lists it.
+func (n *Node) Entry(lifecycle string) discovery.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	in := discovery.Instance{ID: n.cfg.ID, HostPort: n.addr, Zone: n.cfg.Zone, Lifecycle: lifecycle}
+	if !n.started.IsZero() {
+		in.StartedMS = n.started.UnixMilli()
+	}
+	return in
+}
+
+// load answers a probe, see PROTOCOL, "Sidecars to endpoints".
+func (n *Node) load(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	inFlight := n.inFlight
+	n.mu.Unlock()
+	busy := min(inFlight, n.cfg.Slots)
+	fmt.Fprintf(w, "TEXT inflight=%d, queue=%d, util=%.2f", inFlight, inFlight-busy, float64(busy)/float64(n.cfg.Slots))
+}
+
+// Answer is the body of a node's answer.
+type Answer struct {
+	ID, Key, Node string
+}
+
+var errFull = errors.New("queue full")
+
+// serve runs a request, once its last byte has come.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	id, key := r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
+		http.Error(w, "no request", http.StatusNotFound)
+		return
+	}
+	fault, err := n.work(r, id, key)
+	switch {
+	case errors.Is(err, errFull), fault == TurnAway:
+		w.Header().Set("X-Not-Processed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case fault == Drop:
+		panic(http.ErrAbortHandler)
+	case fault == Garble:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			io.WriteString(c, "\x00\xffnoise\r\n\r\n")
+			c.Close()
+		}
+	case err != nil, fault == Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(Answer{id, key, n.cfg.ID})
+	}
+}
+
+// work queues for a slot and runs a request, by the fault at hand when it came.
+func (n *Node) work(r *http.Request, id, key string) (Fault, error) {
+	n.mu.Lock()
+	fault, mended := n.fault, n.mended
+	if fault == TurnAway || n.inFlight >= n.cfg.Slots+n.cfg.Queue {
+		n.mu.Unlock()
+		return fault, errFull
+	}
+	n.inFlight++
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		n.inFlight--
+		n.mu.Unlock()
+	}()
+	ctx := r.Context()
+	if fault == Stall {
+		select {
+		case <-mended:
+		case <-ctx.Done():
+			return fault, ctx.Err()
+		}
+	}
+	select {
+	case n.slots <- struct{}{}:
+	case <-ctx.Done():
+		return fault, ctx.Err()
+	}
+	defer func() { <-n.slots }()
+	if n.cfg.Ledger != nil {
+		n.cfg.Ledger.run(id, key)
+	}
+	select {
+	case <-time.After(n.cfg.Work):
+	case <-ctx.Done():
+		return fault, ctx.Err()
+	}
+	if n.cfg.Next != nil {
+		return fault, n.cfg.Next(ctx, r)
+	}
+	return fault, nil
+}
+
+// Ledger notes what has run in a tier. A repeat of a key within the window is dropped, as
+// by endpoints that share which keys they have seen; a request with no key counts each time.
+type Ledger struct {
+	Window time.Duration
+
+	mu       sync.Mutex
+	runs     map[string]int // by key, or by id where there is none: effects
+	last     map[string]time.Time
+	attempts int
+	repeats  int
+}
+
+func (l *Ledger) run(id, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runs == nil {
+		l.runs, l.last = make(map[string]int), make(map[string]time.Time)
+	}
+	l.attempts++
+	name, now := id, time.Now()
+	if key != "" {
+		name = "key " + key
+		if at, ok := l.last[name]; ok && now.Sub(at) < l.Window {
+			l.repeats++
+			return
+		}
+		l.last[name] = now
+	}
+	l.runs[name]++
+}
+
+// Totals returns how many attempts have run, how many repeats were dropped, and for how many
+// requests the effect has happened more than once.
+func (l *Ledger) Totals() (attempts, repeats, twice int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	return l.attempts, l.repeats, twice
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,71 @@
+// Package standin stands in for what a sidecar meets on its network: the endpoints of a
+// tier, with faults on command; discovery, pushed or asked; and callers that keep count of
+// what they were answered. It is written from PROTOCOL, listens on loopback only, and serves
+// tests and the lab alike.
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+)
+
+// T is the part of testing.TB that the helpers for tests use.
+type T interface {
+	Helper()
+	Cleanup(func())
+	Fatal(args ...any)
+}
+
+// HTTP serves an address by a handler until the test ends.
+func HTTP(t T, h http.HandlerFunc) (addr string) {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// TCP serves each connection to an address by f until the test ends.
+func TCP(t T, f func(c net.Conn)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ReadRequest reads a request whole and drops it.
+func ReadRequest(in *bufio.Reader) error {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err
+}
+
+// Settings are a platform's settings for tests, with a class of each kind. Reports come in answers only, so that no
+// probe is needed before a request goes out.
+const Settings = `{"balancers": 1, "me": 0, "tier": 0, "zone": 0, "zones": ["a", "b"],
+"classes": [
+ {"name": "read", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "safe"},
+ {"name": "book", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "keyed",
+  "keyScope": "all", "repeatWindowNs": 30000000000},
+ {"name": "pay", "goalTimeNs": 20000000000, "hardLimitNs": 30000000000, "importance": 1, "semantics": "unsafe"}],
+"tenants": [{"name": "acme", "share": 1, "quotaPerS": 0}],
+"limits": {"attemptsCap": 3, "cancel": true, "secondCopies": true, "connectTimeoutNs": 5000000000, "keepaliveNs": 60000000000},
+"loadInfo": {"fields": ["busy_reqs"], "how": "piggyback"},
+"rules": {"drainGraceNs": 500000000}, "discovery": "push", "stepNs": 1000000}`
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -5,18 +5,18 @@
 	"fmt"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
 )
 
 // Config reads an instance's settings, and the fields of its load reports in
 // order. Unknown keys are skipped.
-func Config(text []byte) (yewwood.Config, []LoadField, error) {
+func Config(text []byte) (balance.Config, []LoadField, error) {
 	var s settings
 	s.Limits.Cancel, s.Limits.MaxStreams = true, 1
 	if err := json.Unmarshal(text, &s); err != nil {
-		return yewwood.Config{}, nil, fmt.Errorf("config: %w", err)
+		return balance.Config{}, nil, fmt.Errorf("config: %w", err)
 	}
-	c := yewwood.Config{
+	c := balance.Config{
 		Me: s.Me, Balancers: s.Balancers, Tier: s.Tier, Zone: s.Zone,
 		OverQuotaWorth: s.OverShareWorth,
 		MarksRepeats:   s.Clients.MarksRetry,
@@ -24,7 +24,7 @@
 		AskDiscovery:   s.Discovery == "ask",
 		AskWithin:      s.Rules.AskWithin,
 		Costs:          s.Costs,
-		Limits: yewwood.Limits{
+		Limits: balance.Limits{
 			MaxAttempts: s.Limits.AttemptsCap, SecondCopies: s.Limits.SecondCopies,
 			Probes: s.Limits.Probes, Cancel: s.Limits.Cancel, Peers: s.Limits.Peers, MaxRetryAfter: s.Limits.MaxRetryAfter,
 			ConnectTimeout: s.Limits.ConnectTimeout, KeepAlive: s.Limits.KeepAlive,
@@ -33,7 +33,7 @@
 		ColdShare: s.Rules.ColdShare, ColdFor: s.Rules.Cold,
 		FallMultiple: s.Rules.FallMultiple, FallAfter: s.Rules.TipAfter,
 		DrainGrace: s.Rules.DrainGrace, ReleaseWithin: s.Rules.ReleaseWithin,
-		Goal: yewwood.GoalWeights{
+		Goal: balance.GoalWeights{
 			Whole: s.Goal.Whole, WorstWindow: s.Goal.WorstWindow, WorstClass: s.Goal.WorstClass,
 			WorstTenant: s.Goal.WorstTenant, Nines: s.Goal.LogLossPart, NinesFull: s.Goal.NinesFull,
 		},
@@ -44,7 +44,7 @@
 		c.Limits.MaxRetryAfter = 0
 	}
 	for i, k := range s.Classes {
-		class := yewwood.Class{
+		class := balance.Class{
 			Name: k.Name, Goal: k.Goal, Deadline: k.Deadline, Worth: k.Importance,
 			LateShare: k.LateShare, GoalStretch: k.AimStretch, RepeatWindow: k.RepeatWindow, Stream: k.Stream,
 		}
@@ -52,13 +52,13 @@
 		if class.Semantics, ok = semantics[k.Semantics]; !ok {
 			return c, nil, fmt.Errorf("config: classes[%d].semantics: unknown value %q", i, k.Semantics)
 		}
-		if class.Scope, ok = scopes[k.KeyScope]; !ok && class.Semantics == yewwood.Keyed {
+		if class.Scope, ok = scopes[k.KeyScope]; !ok && class.Semantics == balance.Keyed {
 			return c, nil, fmt.Errorf("config: classes[%d].keyScope: unknown value %q", i, k.KeyScope)
 		}
 		c.Classes = append(c.Classes, class)
 	}
 	for _, t := range s.Tenants {
-		c.Tenants = append(c.Tenants, yewwood.Tenant(t))
+		c.Tenants = append(c.Tenants, balance.Tenant(t))
 	}
 	var ok bool
 	if c.Weights, ok = weights[s.Weights]; !ok {
@@ -90,7 +90,7 @@
 		Stream       bool
 	}
 	Clients   struct{ MarksRetry bool }
-	Costs     yewwood.Costs
+	Costs     balance.Costs
 	CountedBy string
 	Discovery string
 	Specifics struct{ PassesDeadline bool }
@@ -130,19 +130,19 @@
 
 // An empty name is a key that was left out.
 var (
-	semantics = map[string]yewwood.Semantics{
-		"safe": yewwood.Safe, "keyed": yewwood.Keyed, "unsafe": yewwood.Unsafe,
+	semantics = map[string]balance.Semantics{
+		"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe,
 	}
-	scopes = map[string]yewwood.Scope{
-		"all": yewwood.ScopeAll, "zone": yewwood.ScopeZone, "cell": yewwood.ScopeCell,
+	scopes = map[string]balance.Scope{
+		"all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
 	}
-	weights = map[string]yewwood.Weights{
-		"": yewwood.WeightsSilent, "silent": yewwood.WeightsSilent, "nominal": yewwood.WeightsNominal,
-		"rough": yewwood.WeightsRough, "live": yewwood.WeightsLive,
+	weights = map[string]balance.Weights{
+		"": balance.WeightsSilent, "silent": balance.WeightsSilent, "nominal": balance.WeightsNominal,
+		"rough": balance.WeightsRough, "live": balance.WeightsLive,
 	}
-	reporting = map[string]yewwood.Reporting{
-		"": yewwood.ReportsNone, "silent": yewwood.ReportsNone, "pull": yewwood.ReportsProbe,
-		"piggyback": yewwood.ReportsInAnswer,
+	reporting = map[string]balance.Reporting{
+		"": balance.ReportsNone, "silent": balance.ReportsNone, "pull": balance.ReportsProbe,
+		"piggyback": balance.ReportsInAnswer,
 	}
 	loadFields = map[string]LoadField{
 		"busy_reqs": FieldInFlight, "pending": FieldQueue, "cpu_share": FieldUtil,
--- a/internal/wire/parse.go
+++ b/internal/wire/parse.go
@@ -7,7 +7,7 @@
 	"math"
 	"strconv"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
 )
 
 // parser takes the values of a line one by one. The first mistake sticks and
@@ -126,32 +126,32 @@
 	return uint32(p.number(n, 32))
 }
 
-func (p *parser) endpoint() yewwood.EndpointID { return yewwood.EndpointID(p.uint(32)) }
+func (p *parser) endpoint() balance.EndpointID { return balance.EndpointID(p.uint(32)) }
 
-func (p *parser) request() yewwood.RequestID {
+func (p *parser) request() balance.RequestID {
 	w := p.word()
 	n, ok := hex(w)
 	if !ok || len(w) != 16 {
 		p.fail("bad request id %.40q", w)
 	}
-	return yewwood.RequestID(n)
+	return balance.RequestID(n)
 }
 
 // cookie takes a timer's token; one that no reply of ours has set is none of ours.
-func (p *parser) cookie() yewwood.Timer {
+func (p *parser) cookie() balance.Timer {
 	w := p.word()
 	if len(w) == 0 || len(w) > 64 {
 		p.fail("bad cookie %.70q", w)
 	}
 	kind, ref, ok := bytes.Cut(w, []byte{'.'})
 	if !ok || len(kind) != 1 || kind[0] < '0' || kind[0] > '9' || len(ref) != 16 {
-		return yewwood.Timer{}
+		return balance.Timer{}
 	}
 	n, ok := hex(ref)
 	if !ok {
-		return yewwood.Timer{}
+		return balance.Timer{}
 	}
-	return yewwood.Timer{Kind: kind[0] - '0', Ref: n}
+	return balance.Timer{Kind: kind[0] - '0', Ref: n}
 }
 
 func hex(w []byte) (n uint64, ok bool) {
@@ -179,40 +179,40 @@
 	}
 }
 
-func (p *parser) state() yewwood.State {
+func (p *parser) state() balance.State {
 	switch w := p.word(); string(w) {
 	case "in_service":
-		return yewwood.InService
+		return balance.InService
 	case "terminating":
-		return yewwood.Draining
+		return balance.Draining
 	case "terminated":
-		return yewwood.Gone
+		return balance.Gone
 	default:
 		p.fail("unknown status %.40q", w)
-		return yewwood.Gone
+		return balance.Gone
 	}
 }
 
-func (p *parser) result() yewwood.Result {
+func (p *parser) result() balance.Result {
 	switch w := p.word(); string(w) {
 	case "completed":
-		return yewwood.OK
+		return balance.OK
 	case "errored":
-		return yewwood.Error
+		return balance.Error
 	case "saturated":
-		return yewwood.Rejected
+		return balance.Rejected
 	case "overdue":
-		return yewwood.Timeout
+		return balance.Timeout
 	case "refused_conn":
-		return yewwood.ConnectFailed
+		return balance.ConnectFailed
 	case "severed":
-		return yewwood.Reset
+		return balance.Reset
 	case "recalled":
-		return yewwood.Canceled
+		return balance.Canceled
 	case "superseded":
-		return yewwood.NotSent
+		return balance.NotSent
 	default:
 		p.fail("unknown reason %.40q", w)
-		return yewwood.NotSent
+		return balance.NotSent
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
 )
 
 // Kind is the kind of an [Event].
@@ -39,15 +39,15 @@
 
 	Seed    uint64
 	Config  []byte // of NewInstance, valid until the next batch
-	List    yewwood.ListKind
-	Entries []yewwood.Endpoint // shared between events; valid until the next batch
-	Request yewwood.Request    // Query; its ID for all events about a request
-	Outcome yewwood.Outcome    // Reply, and ProbeResult as far as it goes; Load is not set
-	Timer   yewwood.Timer      // zero for a cookie that no reply has set
+	List    balance.ListKind
+	Entries []balance.Endpoint // shared between events; valid until the next batch
+	Request balance.Request    // Query; its ID for all events about a request
+	Outcome balance.Outcome    // Reply, and ProbeResult as far as it goes; Load is not set
+	Timer   balance.Timer      // zero for a cookie that no reply has set
 
 	report [MaxFields]float64
 	values int // of report; -1 without one
-	load   yewwood.Load
+	load   balance.Load
 }
 
 // Batch is what has come in at one time.
@@ -69,7 +69,7 @@
 
 type bank struct {
 	set     bool
-	entries []yewwood.Endpoint
+	entries []balance.Endpoint
 }
 
 // MaxFields is the most values that a load report has.
@@ -247,13 +247,13 @@
 	p.optional(64)
 	switch string(kind) {
 	case "changes":
-		e.List = yewwood.ListChanges
+		e.List = balance.ListChanges
 	case "all":
-		e.List = yewwood.ListFull
+		e.List = balance.ListFull
 	case "remembered":
-		e.List = yewwood.ListRemember
+		e.List = balance.ListRemember
 	case "refused":
-		e.List = yewwood.ListRefused
+		e.List = balance.ListRefused
 		p.word()
 		return p.end()
 	default:
@@ -280,7 +280,7 @@
 	if n >= uint64(len(r.banks)) {
 		return fmt.Errorf("list number %d is not from 0 to %d", n, len(r.banks)-1)
 	}
-	entries := make([]yewwood.Endpoint, 0, min(count, 1<<16))
+	entries := make([]balance.Endpoint, 0, min(count, 1<<16))
 	for range count {
 		if err := r.next(); err != nil {
 			return fmt.Errorf("the list is cut off: %w", err)
@@ -289,7 +289,7 @@
 		if name := p.word(); string(name) != "ENTRY" {
 			return fmt.Errorf("the list is cut off by %.40q", name)
 		}
-		var e yewwood.Endpoint
+		var e balance.Endpoint
 		e.ID = p.endpoint()
 		e.Zone = int(p.optional(31))
 		p.optional(31)
@@ -334,14 +334,14 @@
 
 // Load returns the report of a Reply or ProbeResult whose values are these fields, or nil if it has none.
 // It is valid as long as the event.
-func (e *Event) Load(fields []LoadField) (*yewwood.Load, error) {
+func (e *Event) Load(fields []LoadField) (*balance.Load, error) {
 	if e.values < 0 {
 		return nil, nil
 	}
 	if e.values != len(fields) {
 		return nil, fmt.Errorf("a load report of %d values, not %d", e.values, len(fields))
 	}
-	e.load = yewwood.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
+	e.load = balance.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
 	for i, f := range fields {
 		switch v := e.report[i]; f {
 		case FieldInFlight:
@@ -362,7 +362,7 @@
 }
 
 // AppendAction appends the line of an action.
-func AppendAction(dst []byte, instance uint32, a *yewwood.Action) []byte {
+func AppendAction(dst []byte, instance uint32, a *balance.Action) []byte {
 	line := func(name string) {
 		dst = append(dst, name...)
 		dst = append(dst, " sidecar_"...)
@@ -377,36 +377,36 @@
 		dst = appendHex(dst, uint64(a.Request))
 	}
 	switch a.Kind {
-	case yewwood.Send:
+	case balance.Send:
 		line("TRY")
 		request()
 		num(int64(a.Endpoint))
 		num(int64(a.Until))
-	case yewwood.Cancel:
+	case balance.Cancel:
 		line("WITHDRAW")
 		request()
 		num(int64(a.Attempt))
-	case yewwood.Shed:
+	case balance.Shed:
 		line("SHED")
 		request()
 		num(int64(a.Delay))
-	case yewwood.Fail:
+	case balance.Fail:
 		line("RESPOND_ERROR")
 		request()
-	case yewwood.SetTimer:
+	case balance.SetTimer:
 		line("AFTER")
 		dst = append(dst, ' ')
 		dst = strconv.AppendUint(dst, uint64(a.Timer.Kind), 10)
 		dst = append(dst, '.')
 		dst = appendHex(dst, a.Timer.Ref)
 		num(int64(a.Delay))
-	case yewwood.Probe:
+	case balance.Probe:
 		line("TEST")
 		num(int64(a.Endpoint))
-	case yewwood.Release:
+	case balance.Release:
 		line("RELEASE")
 		num(int64(a.Endpoint))
-	case yewwood.Subscribe:
+	case balance.Subscribe:
 		line("STREAM_CHANGES")
 		num(1)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"yewwood.example/yewwood"
+	"barleydrum.example/barleydrum/balance"
 )
 
 func read(text string) (*Batch, error) {
@@ -28,7 +28,7 @@
 
 func TestEvents(t *testing.T) {
 	e := one(t, "QUERY sidecar_3 51fdf2bc5d3a91c4 3 2 4569004829183723 240000000 1 12000000")
-	want := yewwood.Request{ID: 0x51fdf2bc5d3a91c4, Class: 1, Tenant: 2, Budget: 240 * time.Millisecond,
+	want := balance.Request{ID: 0x51fdf2bc5d3a91c4, Class: 1, Tenant: 2, Budget: 240 * time.Millisecond,
 		Repeat: true, Work: 12 * time.Millisecond}
 	if e.Kind != Query || e.Instance != 3 || e.Request != want {
 		t.Errorf("QUERY: %+v", e)
@@ -37,7 +37,7 @@
 		t.Errorf("QUERY without optional values: %+v", e.Request)
 	}
 	e = one(t, "REPLY sidecar_3 51fdf2bc5d3a91c4 completed 1 51530247 0 18500000 2,-,0.5")
-	if o := e.Outcome; e.Kind != Reply || o.Result != yewwood.OK || !o.Closed || o.Endpoint != 51530247 ||
+	if o := e.Outcome; e.Kind != Reply || o.Result != balance.OK || !o.Closed || o.Endpoint != 51530247 ||
 		o.Elapsed != 18500*time.Microsecond {
 		t.Errorf("REPLY: %+v", o)
 	}
@@ -49,16 +49,16 @@
 		t.Error("a report with too many values was taken")
 	}
 	if e = one(t, "PROBE_RESULT sidecar_3 7 overdue 50000000 -"); e.Kind != ProbeResult ||
-		e.Outcome.Result != yewwood.Timeout || e.Outcome.Endpoint != 7 {
+		e.Outcome.Result != balance.Timeout || e.Outcome.Endpoint != 7 {
 		t.Errorf("PROBE_RESULT: %+v", e)
 	}
 	if load, err := e.Load(nil); load != nil || err != nil {
 		t.Errorf("absent load: %+v, %v", load, err)
 	}
-	if e = one(t, "RING sidecar_3 2.00000000000000ff"); e.Timer != (yewwood.Timer{Kind: 2, Ref: 255}) {
+	if e = one(t, "RING sidecar_3 2.00000000000000ff"); e.Timer != (balance.Timer{Kind: 2, Ref: 255}) {
 		t.Errorf("RING: %+v", e.Timer)
 	}
-	if e = one(t, "RING sidecar_3 sweep"); e.Timer != (yewwood.Timer{}) {
+	if e = one(t, "RING sidecar_3 sweep"); e.Timer != (balance.Timer{}) {
 		t.Errorf("RING of a foreign cookie: %+v", e.Timer)
 	}
 	if e = one(t, "HEAD_RECEIVED sidecar_3 67c3e1570e6f2b19 1 5 9"); e.Kind != Head || e.Outcome.Attempt != 1 {
@@ -93,15 +93,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	first := []yewwood.Endpoint{
+	first := []balance.Endpoint{
 		{ID: 51530247, Weight: 1},
-		{ID: 747639282, Zone: 1, Cell: 4, State: yewwood.Draining, Weight: 1.5, Started: 6100 * time.Millisecond},
+		{ID: 747639282, Zone: 1, Cell: 4, State: balance.Draining, Weight: 1.5, Started: 6100 * time.Millisecond},
 	}
-	if !reflect.DeepEqual(b.Events[0].Entries, first) || b.Events[0].List != yewwood.ListRemember {
+	if !reflect.DeepEqual(b.Events[0].Entries, first) || b.Events[0].List != balance.ListRemember {
 		t.Errorf("first list %+v", b.Events[0])
 	}
-	second := []yewwood.Endpoint{{ID: 9, Weight: 1, State: yewwood.Gone}}
-	if !reflect.DeepEqual(b.Events[1].Entries, second) || b.Events[1].List != yewwood.ListChanges {
+	second := []balance.Endpoint{{ID: 9, Weight: 1, State: balance.Gone}}
+	if !reflect.DeepEqual(b.Events[1].Entries, second) || b.Events[1].List != balance.ListChanges {
 		t.Errorf("second list %+v", b.Events[1])
 	}
 }
@@ -142,25 +142,25 @@
 
 func TestActions(t *testing.T) {
 	for _, c := range []struct {
-		a    yewwood.Action
+		a    balance.Action
 		want string
 	}{
-		{yewwood.Action{Kind: yewwood.Send, Request: 0x51fdf2bc5d3a91c4, Endpoint: 51530247, Until: 8492250000},
+		{balance.Action{Kind: balance.Send, Request: 0x51fdf2bc5d3a91c4, Endpoint: 51530247, Until: 8492250000},
 			"TRY sidecar_3 51fdf2bc5d3a91c4 51530247 8492250000"},
-		{yewwood.Action{Kind: yewwood.Cancel, Request: 1, Attempt: 2}, "WITHDRAW sidecar_3 0000000000000001 2"},
-		{yewwood.Action{Kind: yewwood.Shed, Request: 1, Delay: 5}, "SHED sidecar_3 0000000000000001 5"},
-		{yewwood.Action{Kind: yewwood.Fail, Request: 1}, "RESPOND_ERROR sidecar_3 0000000000000001"},
-		{yewwood.Action{Kind: yewwood.Probe, Endpoint: 7}, "TEST sidecar_3 7"},
-		{yewwood.Action{Kind: yewwood.Release, Endpoint: 7}, "RELEASE sidecar_3 7"},
-		{yewwood.Action{Kind: yewwood.Subscribe}, "STREAM_CHANGES sidecar_3 1"},
+		{balance.Action{Kind: balance.Cancel, Request: 1, Attempt: 2}, "WITHDRAW sidecar_3 0000000000000001 2"},
+		{balance.Action{Kind: balance.Shed, Request: 1, Delay: 5}, "SHED sidecar_3 0000000000000001 5"},
+		{balance.Action{Kind: balance.Fail, Request: 1}, "RESPOND_ERROR sidecar_3 0000000000000001"},
+		{balance.Action{Kind: balance.Probe, Endpoint: 7}, "TEST sidecar_3 7"},
+		{balance.Action{Kind: balance.Release, Endpoint: 7}, "RELEASE sidecar_3 7"},
+		{balance.Action{Kind: balance.Subscribe}, "STREAM_CHANGES sidecar_3 1"},
 	} {
 		if got := string(AppendAction(nil, 3, &c.a)); got != c.want+"\n" {
 			t.Errorf("got %q, want %q", got, c.want)
 		}
 	}
 	// A timer comes back as it was set.
-	timer := yewwood.Timer{Kind: 1, Ref: 0xfedcba9876543210}
-	line := string(AppendAction(nil, 3, &yewwood.Action{Kind: yewwood.SetTimer, Timer: timer, Delay: 9}))
+	timer := balance.Timer{Kind: 1, Ref: 0xfedcba9876543210}
+	line := string(AppendAction(nil, 3, &balance.Action{Kind: balance.SetTimer, Timer: timer, Delay: 9}))
 	cookie := strings.Fields(line)[2]
 	if e := one(t, "RING sidecar_3 "+cookie); e.Timer != timer {
 		t.Errorf("%q came back as %+v", line, e.Timer)
@@ -186,12 +186,12 @@
 		t.Fatal(err)
 	}
 	k := c.Classes[0]
-	if k.Goal != 1540*time.Millisecond || k.Semantics != yewwood.Keyed || k.Scope != yewwood.ScopeZone ||
+	if k.Goal != 1540*time.Millisecond || k.Semantics != balance.Keyed || k.Scope != balance.ScopeZone ||
 		k.LateShare != 0.5 || k.RepeatWindow != 10*time.Second {
 		t.Errorf("class %+v", k)
 	}
-	if c.Me != 3 || c.Tier != 1 || !c.AskDiscovery || c.Weights != yewwood.WeightsNominal ||
-		c.Reporting != yewwood.ReportsProbe || c.ColdFor != 22*time.Second || c.Limits.MaxAttempts != 6 {
+	if c.Me != 3 || c.Tier != 1 || !c.AskDiscovery || c.Weights != balance.WeightsNominal ||
+		c.Reporting != balance.ReportsProbe || c.ColdFor != 22*time.Second || c.Limits.MaxAttempts != 6 {
 		t.Errorf("config %+v", c)
 	}
 	for name, got := range map[string]bool{
@@ -201,8 +201,8 @@
 		"rules.fallMultiple":     c.FallMultiple == 4,
 		"rules.tipAfterNs":       c.FallAfter == 1500*time.Millisecond,
 		"countedBy":              c.WorthByWork,
-		"goal":                   c.Goal == yewwood.GoalWeights{Whole: 0.6, WorstWindow: 0.1, WorstClass: 0.2, WorstTenant: 0.4, Nines: 0.3, NinesFull: 2},
-		"costs":                  c.Costs == yewwood.Costs{Connection: 1, CrossZone: 2, Handshake: 3, LateFail: 4, Peer: 5, Probe: 6, Waste: 7},
+		"goal":                   c.Goal == balance.GoalWeights{Whole: 0.6, WorstWindow: 0.1, WorstClass: 0.2, WorstTenant: 0.4, Nines: 0.3, NinesFull: 2},
+		"costs":                  c.Costs == balance.Costs{Connection: 1, CrossZone: 2, Handshake: 3, LateFail: 4, Peer: 5, Probe: 6, Waste: 7},
 		"limits.peers":           c.Limits.Peers,
 		"limits.secondCopies":    c.Limits.SecondCopies,
 		"limits.maxRetryAfterNs": c.Limits.MaxRetryAfter == 2*time.Second,
