Read the operators' file, check it against the four rules, and bound classes by it

Need: callers' times, connection shares, body limits, margins, probes and retries were constants in the code, and nothing told an operator that a file would break a rule.

Without a platform's configuration the file says all. The module gets bounds by class (attempts, retries after an attempt that may have run, one copy, a time within which a further attempt begins) that SIGHUP changes; without them its actions are what they were.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,6 +65,12 @@
 	Scope        Scope         // for Keyed
 	RepeatWindow time.Duration // for Keyed: how long repeats are dropped
 	Stream       bool          // the answer is streamed: Head comes first
+
+	// Bounds of the class's own, within those of Limits; zero is none. See [Balancer.Bound].
+	MaxAttempts int           // for each request, those that never ran included
+	Retries     int           // after an attempt that may have run; negative is not even one
+	OneCopy     bool          // no second copy while one is out
+	RetryWithin time.Duration // a further attempt begins sooner than this after the request came
 }
 
 // Tenant describes a tenant; its quota is summed over all sidecars.
@@ -284,6 +290,10 @@
 			return fmt.Errorf("balance: Classes[%d].Deadline: not positive", i)
 		case k.RepeatWindow < 0:
 			return fmt.Errorf("balance: Classes[%d].RepeatWindow: negative", i)
+		case k.MaxAttempts < 0:
+			return fmt.Errorf("balance: Classes[%d].MaxAttempts: negative", i)
+		case k.RetryWithin < 0:
+			return fmt.Errorf("balance: Classes[%d].RetryWithin: negative", i)
 		}
 	}
 	for _, t := range []struct {
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -125,6 +125,7 @@
 	startBy  time.Duration // a call that begins later would be late
 	attempts []attempt
 	out      int           // attempts out
+	reruns   int           // attempts after one that may have run, other than second copies
 	ran      *endpoint     // where the first attempt went that may have run
 	ranAt    time.Duration // and when it was sent
 	done     bool          // it has its final answer
@@ -194,6 +195,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
+	cfg.Classes = slices.Clone(cfg.Classes) // Bound changes them
 	cfg.Balancers, cfg.Limits.MaxAttempts = max(cfg.Balancers, 1), cmp.Or(cfg.Limits.MaxAttempts, math.MaxInt)
 	b := &Balancer{
 		cfg:       cfg,
@@ -213,6 +215,23 @@
 	return b, nil
 }
 
+// Bound sets the bounds of a class anew: MaxAttempts, Retries, OneCopy and RetryWithin of what it is given.
+// They hold at once: a request that waits for an attempt it may not have is answered. What is out goes on.
+func (b *Balancer) Bound(now time.Duration, class int, k Class, out []Action) []Action {
+	b.begin(now, out)
+	if class < 0 || class >= len(b.cfg.Classes) {
+		return b.acts
+	}
+	c := &b.cfg.Classes[class]
+	c.MaxAttempts, c.Retries, c.OneCopy, c.RetryWithin = k.MaxAttempts, k.Retries, k.OneCopy, k.RetryWithin
+	for _, r := range slices.Clone(b.held) {
+		if r.out == 0 && !b.mayAdd(r) {
+			b.finish(r)
+		}
+	}
+	return b.acts
+}
+
 // Endpoints takes a list from discovery.
 func (b *Balancer) Endpoints(now time.Duration, kind ListKind, list []Endpoint, out []Action) []Action {
 	b.begin(now, out)
@@ -468,14 +487,21 @@
 
 // mayRetry tells whether a request whose attempts have all failed may have another.
 func (b *Balancer) mayRetry(r *request) bool {
-	may := b.mayAdd(r) && (r.ran == nil || r.class.Semantics != Unsafe && b.retries >= 1)
+	may := b.mayAdd(r) && (r.ran == nil || r.class.Semantics != Unsafe && b.retries >= 1 &&
+		(r.class.Retries == 0 || r.reruns < r.class.Retries))
 	if may && r.ran != nil {
 		b.retries--
+		r.reruns++
 	}
 	return may
 }
 
-func (b *Balancer) mayAdd(r *request) bool { return len(r.attempts) < b.cfg.Limits.MaxAttempts }
+// mayAdd tells whether the limits let a request have a further attempt now.
+func (b *Balancer) mayAdd(r *request) bool {
+	n, k := len(r.attempts), r.class
+	return n < b.cfg.Limits.MaxAttempts && (k.MaxAttempts == 0 || n < k.MaxAttempts) &&
+		(n == 0 || k.RetryWithin == 0 || b.now < r.arrived+k.RetryWithin)
+}
 
 func (b *Balancer) advance(r *request) {
 	switch {
@@ -510,6 +536,9 @@
 		if b.probing { // an idle endpoint, which it takes a probe to find, is worth a try however late
 			r.startBy = max(r.startBy, b.now+probeWait)
 		}
+		if len(r.attempts) > 0 && r.class.RetryWithin > 0 { // it ends as soon as no attempt may begin
+			r.startBy = min(r.startBy, r.arrived+r.class.RetryWithin)
+		}
 		b.wake(r, max(r.startBy, b.now+1))
 	}
 }
@@ -564,6 +593,9 @@
 		for i := len(b.held) - 1; i >= 0; i-- {
 			if r := b.held[i]; r.Request.Class != c {
 				continue
+			} else if r.out > 0 && !b.mayAdd(r) { // a copy that waits, and may no longer begin
+				b.unhold(r)
+				continue
 			} else if e := b.pick(r); e != nil {
 				b.send(r, e)
 				continue
@@ -788,7 +820,7 @@
 
 // allowed tells whether the rules let a request go to an endpoint now.
 func (b *Balancer) allowed(r *request, e *endpoint) bool {
-	if e.State != InService || r.out > 0 && !b.cfg.Limits.SecondCopies {
+	if e.State != InService || !b.mayAdd(r) || r.out > 0 && !b.mayCopy(r) {
 		return false
 	}
 	for i := range r.attempts {
@@ -801,6 +833,9 @@
 	return r.ran == nil || b.mayFollow(r, r.ran, r.ranAt, e)
 }
 
+// mayCopy tells whether a request may have a second copy out.
+func (b *Balancer) mayCopy(r *request) bool { return b.cfg.Limits.SecondCopies && !r.class.OneCopy }
+
 // mayFollow tells whether a request that may run at first, sent then, may also go to e.
 func (b *Balancer) mayFollow(r *request, first *endpoint, sent time.Duration, e *endpoint) bool {
 	if r.class.Semantics != Keyed {
@@ -824,7 +859,7 @@
 	b.act(Action{Kind: Send, Request: r.ID, Endpoint: e.ID, Until: r.useless})
 	if r.out > 1 {
 		b.hedges--
-	} else if b.probing && b.cfg.Limits.SecondCopies && r.class.Semantics != Unsafe {
+	} else if b.probing && b.mayCopy(r) && r.class.Semantics != Unsafe {
 		c := &b.classes[r.Class]
 		r.hedgeAt = b.now + seconds(c.mean+hedgeAfter*c.dev)
 		if r.hedgeAt < r.useless {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1167,3 +1167,64 @@
 		}
 	}
 }
+
+// A class's bounds hold beside those of the limits, and at once for what waits: a request that may have
+// no further attempt is answered as soon as that is so.
+func TestClassBounds(t *testing.T) {
+	lost := func(cfg Config) (*fleet, RequestID) {
+		f := newFleet(t, cfg, servers(20)...)
+		r, e := f.dispatch(0)
+		f.b.idlers = nil
+		f.ended(r, 0, e, Error, ms)
+		return f, r
+	}
+	answered := func(f *fleet) bool { return len(f.find(Shed))+len(f.find(Fail)) == 1 }
+	for name, bound := range map[string]func(c *Class){
+		"one attempt": func(c *Class) { c.MaxAttempts = 1 }, "no retry": func(c *Class) { c.Retries = -1 },
+		"no time": func(c *Class) { c.RetryWithin = 1 },
+	} {
+		cfg := config()
+		bound(&cfg.Classes[0])
+		if f, _ := lost(cfg); !answered(f) {
+			t.Errorf("%s: not answered: %+v", name, f.acts)
+		}
+	}
+	cfg := config()
+	cfg.Classes[0].RetryWithin = 300 * ms
+	f, r := lost(cfg)
+	if answered(f) || len(f.b.held) != 1 {
+		t.Fatalf("answered with time for a retry: %+v", f.acts)
+	}
+	f.now = f.b.requests[r].arrived + 300*ms
+	if f.fire(r); !answered(f) {
+		t.Errorf("not answered once no retry may begin: %+v", f.acts)
+	}
+	f, _ = lost(config())
+	if f.acts = f.b.Bound(f.now, 0, Class{MaxAttempts: 1}, nil); !answered(f) {
+		t.Errorf("not answered once the bound is lowered: %+v", f.acts)
+	}
+	cfg = config()
+	cfg.Classes[0].OneCopy = true
+	f = newFleet(t, cfg, servers(20)...)
+	if r, _ := f.dispatch(0); f.b.requests[r].hedgeAt != 0 {
+		t.Error("a second copy is planned")
+	}
+}
+
+// A second copy that waits for an idle endpoint is dropped once it may not begin: no probe is sent for it.
+func TestCopyIsDroppedInTime(t *testing.T) {
+	cfg := config()
+	cfg.Classes[0].RetryWithin = 400 * ms
+	f := newFleet(t, cfg, servers(20)...)
+	f.b.classes[0] = latency{mean: 0.05, dev: 0.02}
+	r, _ := f.dispatch(0)
+	f.b.idlers = nil
+	f.now = f.b.requests[r].hedgeAt
+	if f.fire(r); len(f.b.held) != 1 {
+		t.Fatalf("%d held, want the copy", len(f.b.held))
+	}
+	f.now = f.b.requests[r].arrived + 400*ms
+	if f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil); len(f.b.held) != 0 || len(f.find(Probe)) != 0 {
+		t.Errorf("%d held, actions %+v", len(f.b.held), f.acts)
+	}
+}
--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -1,10 +1,19 @@
 // Command barleydrum is one sidecar: it balances its callers' requests over the
 // endpoints of a tier.
+//
+//	barleydrum [-settings FILE]
+//
+// PROXY_CONFIG names the platform's configuration. The operators' file narrows it, and says
+// all where there is none. SIGHUP has both read again, SIGTERM ends the program once what it
+// has taken is answered.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -13,47 +22,74 @@
 	"runtime/debug"
 	"syscall"
 
-	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/sidecar"
 )
 
 func main() {
-	if err := run(); err != nil {
+	settings, err := arguments(os.Args[1:], os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		os.Exit(2)
+	}
+	if err := run(settings); err != nil {
 		fmt.Fprintf(os.Stderr, "barleydrum: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-// run serves until SIGTERM or SIGINT. SIGHUP has discovery's address read again.
-func run() error {
+// arguments reads the command line. It says itself what is wrong with it.
+func arguments(args []string, out io.Writer) (settings string, err error) {
+	f := flag.NewFlagSet("barleydrum", flag.ContinueOnError)
+	f.SetOutput(out)
+	f.StringVar(&settings, "settings", "", "the operators' `FILE`; see docs/operators/settings.md")
+	if err = f.Parse(args); err == nil && f.NArg() > 0 {
+		err = fmt.Errorf("unknown argument %q", f.Arg(0))
+		fmt.Fprintf(out, "barleydrum: %v\n", err)
+		f.Usage()
+	}
+	return settings, err
+}
+
+// run serves until SIGTERM or SIGINT.
+func run(settings string) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP) // before all else: unhandled it would end the program
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := config.LoadPlatform(os.Getenv)
+	source := source{settings: settings, getenv: os.Getenv}
+	cfg, err := source.start()
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 3 / 4) // the rest is for stacks, files and the program itself
+	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * cfg.Settings.Limits.Heap))
 	slog.SetDefault(slog.With("name", cfg.Name))
 
 	engine, err := sidecar.NewEngine(cfg)
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	var listeners []net.Listener
+	for _, addr := range append([]string{cfg.Listen}, cfg.Settings.Callers.AlsoListen...) {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, l)
 	}
 	server := sidecar.NewServer(cfg, engine)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(l) }()
+	served := make(chan error, len(listeners))
+	for _, l := range listeners {
+		go func() { served <- server.Serve(l) }()
+	}
 	discovery := sidecar.NewDiscovery(cfg, engine)
 	go discovery.Run(context.Background()) // also while the last requests are answered
 	go func() {
+		running := running{source: source, started: cfg, settings: cfg.Settings}
 		for range hangup {
-			reload(discovery)
+			running.reload(engine, discovery)
 		}
 	}()
 
@@ -65,14 +101,3 @@
 		return nil
 	}
 }
-
-// reload follows the discovery that the configuration names now. The rest of it is read at
-// the start only.
-func reload(d *sidecar.Discovery) {
-	cfg, err := config.ReloadPlatform(os.Getenv)
-	if err != nil {
-		slog.Error("reload: keeping the configuration at hand", "err", err)
-		return
-	}
-	d.Move(cfg.Discovery)
-}
--- /dev/null
+++ b/cmd/barleydrum/settings.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"barleydrum.example/barleydrum/internal/check"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/sidecar"
+)
+
+// source is where the configuration comes from.
+type source struct {
+	settings string // the operators' file, empty for none
+	getenv   func(string) string
+}
+
+// start reads the configuration to begin with.
+func (s source) start() (*config.Config, error) { return s.load(config.LoadPlatform) }
+
+// again reads it as it is now.
+func (s source) again() (*config.Config, error) { return s.load(config.ReloadPlatform) }
+
+func (s source) load(platform func(func(string) string) (*config.Platform, error)) (*config.Config, error) {
+	var p *config.Platform
+	if s.settings == "" || s.getenv("PROXY_CONFIG") != "" {
+		var err error
+		if p, err = platform(s.getenv); err != nil {
+			return nil, err
+		}
+	}
+	if s.settings == "" {
+		// The platform's word stands: the module guards the rules by itself, whatever it is told.
+		cfg, findings := check.Sidecar(p, s.getenv("PROXY_CONFIG"), nil, "")
+		for _, f := range findings {
+			if f.Level == config.Refused {
+				slog.Error("configuration", "finding", f.String())
+			}
+		}
+		if cfg == nil {
+			cfg = config.Merge(p, config.Default())
+		}
+		return cfg, nil
+	}
+	file, findings := config.LoadSettings(s.settings)
+	var cfg *config.Config
+	if !config.Failed(findings) {
+		cfg, findings = check.Sidecar(p, s.getenv("PROXY_CONFIG"), file, s.settings)
+	}
+	var refused []string
+	for _, f := range findings {
+		if f.Level == config.Refused {
+			refused = append(refused, f.String())
+		} else {
+			slog.Warn("configuration", "finding", f.String())
+		}
+	}
+	if len(refused) > 0 {
+		return nil, errors.New(strings.Join(refused, "\n"))
+	}
+	return cfg, nil
+}
+
+// running is the configuration that the program runs with.
+type running struct {
+	source   source
+	started  *config.Config
+	settings *config.Settings // those of the last reload
+}
+
+// reload follows the discovery that the configuration names now, and has those settings take
+// effect that need no restart. If any of it can't be used, all stays as it is.
+func (r *running) reload(e *sidecar.Engine, d *sidecar.Discovery) {
+	cfg, err := r.source.again()
+	if err != nil {
+		slog.Error("reload: keeping the configuration at hand", "err", err)
+		return
+	}
+	d.Move(cfg.Discovery)
+	if r.source.settings == "" {
+		return
+	}
+	var live []string
+	for _, c := range config.Diff(r.settings.Values(), cfg.Settings.Values()) {
+		if c.Live {
+			live = append(live, c.String())
+		}
+	}
+	var restart []string
+	for _, c := range config.Diff(r.started.Settings.Values(), cfg.Settings.Values()) {
+		if !c.Live {
+			restart = append(restart, c.String())
+		}
+	}
+	e.Apply(cfg.Settings)
+	r.settings = cfg.Settings
+	slog.Info("reload: settings", "changed", fmt.Sprint(len(live)), "live", live)
+	if len(restart) > 0 {
+		slog.Warn("reload: these take effect at a restart", "settings", restart)
+	}
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -182,16 +182,3 @@
 	}
 	return most
 }
-
-// ReservedSockets are the descriptors kept for the listener, discovery, the runtime, the log
-// and the configuration, and LeastSockets what a sidecar can do with.
-const ReservedSockets, LeastSockets = 24, 64
-
-// CallerConnections is how many connections callers may have open: a third of the descriptors,
-// which is what they need at most for the requests that they may hold.
-func (p *Platform) CallerConnections() int { return p.Limits.Sockets / 3 }
-
-// EndpointConnections is how many connections to endpoints may be open: the rest.
-func (p *Platform) EndpointConnections() int {
-	return p.Limits.Sockets - p.CallerConnections() - ReservedSockets
-}
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,262 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Key describes a key of the operators' file.
+type Key struct {
+	Path                   string // such as "callers.head_time" or "class.NAME.wanted"
+	Type                   string // what its value is, in words
+	Default, Unset         string // at most one of them is set
+	Min, Max               string
+	Choices                []string
+	Doc                    string
+	Live, Required, IsPart bool // IsPart: it is a part of the file, such as [callers]
+}
+
+// Allowed is what a key's value may be, in words.
+func (k Key) Allowed() string {
+	switch {
+	case len(k.Choices) > 0:
+		return "one of " + strings.Join(k.Choices, ", ")
+	case k.Min != "" && k.Max != "":
+		return k.Type + " from " + k.Min + " to " + k.Max
+	case k.Min != "":
+		return k.Type + " from " + k.Min
+	}
+	return k.Type
+}
+
+// Keys returns the schema: every part and key in the order of the file. The name of a class
+// stands as NAME.
+func Keys() []Key {
+	return keysOf(reflect.TypeFor[Settings](), "", nil)
+}
+
+func keysOf(t reflect.Type, prefix string, out []Key) []Key {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Tag.Get("key") == "" {
+			continue
+		}
+		k := keyOf(f)
+		k.Path = prefix + k.Path
+		part := f.Type
+		if part.Kind() == reflect.Map {
+			k.Path += ".NAME"
+			part = part.Elem().Elem()
+		}
+		k.IsPart = part.Kind() == reflect.Struct
+		out = append(out, k)
+		if k.IsPart {
+			out = keysOf(part, k.Path+".", out)
+		}
+	}
+	return out
+}
+
+// keyOf reads a field's tags.
+func keyOf(f reflect.StructField) Key {
+	k := Key{
+		Path: f.Tag.Get("key"), Doc: f.Tag.Get("doc"), Default: f.Tag.Get("default"), Unset: f.Tag.Get("unset"),
+		Min: f.Tag.Get("min"), Max: f.Tag.Get("max"),
+		Live: f.Tag.Get("reload") == "live", Required: f.Tag.Get("required") != "", Type: typeName(f),
+	}
+	if words := f.Tag.Get("choices"); words != "" {
+		k.Choices = strings.Split(words, ",")
+	}
+	return k
+}
+
+var timeType, sizeType = reflect.TypeFor[time.Duration](), reflect.TypeFor[Size]()
+
+// typeName says what a field's value is.
+func typeName(f reflect.StructField) string {
+	t := f.Type
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	kind := f.Tag.Get("kind")
+	switch {
+	case t == timeType:
+		return "a time"
+	case t == sizeType:
+		return "a size"
+	case t.Kind() == reflect.Slice:
+		return map[string]string{"name": "a list of names", "address": "a list of HOST:PORT addresses"}[kind]
+	case t.Kind() == reflect.String && kind != "":
+		return map[string]string{"name": "a name", "address": "HOST:PORT", "path": "a path from /"}[kind]
+	case t.Kind() == reflect.String:
+		return "a word"
+	case t.Kind() == reflect.Int:
+		return "a whole number"
+	case t.Kind() == reflect.Float64:
+		return "a number"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	}
+	return "a part of the file"
+}
+
+// find returns the field of a part with a key.
+func find(part reflect.Type, key string) (reflect.StructField, bool) {
+	for i := range part.NumField() {
+		if f := part.Field(i); f.Tag.Get("key") == key && key != "" {
+			return f, true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// names returns the keys of a part.
+func names(part reflect.Type) []string {
+	var out []string
+	for i := range part.NumField() {
+		if key := part.Field(i).Tag.Get("key"); key != "" {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// scalar reads a value from its text, as a default or a bound is written, into a field.
+func scalar(to reflect.Value, text string) error {
+	switch {
+	case to.Type() == timeType:
+		d, err := parseTime(text)
+		to.SetInt(int64(d))
+		return err
+	case to.Type() == sizeType:
+		s, err := ParseSize(text)
+		to.SetInt(int64(s))
+		return err
+	case to.Kind() == reflect.Int:
+		n, err := strconv.Atoi(text)
+		to.SetInt(int64(n))
+		return err
+	case to.Kind() == reflect.Float64:
+		v, err := strconv.ParseFloat(text, 64)
+		to.SetFloat(v)
+		return err
+	case to.Kind() == reflect.String:
+		to.SetString(text)
+		return nil
+	}
+	return fmt.Errorf("no text for a %s", to.Type())
+}
+
+// defaults sets what a part's fields are where a file leaves them out. The tags are the
+// program's own: a bad one is found by the tests.
+func defaults(part reflect.Value) {
+	for i := range part.NumField() {
+		f, v := part.Type().Field(i), part.Field(i)
+		if text := f.Tag.Get("default"); text != "" {
+			if err := scalar(v, text); err != nil {
+				panic(fmt.Sprintf("config: default of %s: %v", f.Name, err))
+			}
+		} else if v.Kind() == reflect.Struct {
+			defaults(v)
+		}
+	}
+}
+
+// Default returns the settings of a program that is given no file.
+func Default() *Settings {
+	s := &Settings{Schema: Schema}
+	defaults(reflect.ValueOf(s).Elem())
+	return s
+}
+
+// inRange tells whether a value is within its field's bounds.
+func inRange(v reflect.Value, k Key) bool {
+	bound := func(text string) reflect.Value {
+		to := reflect.New(v.Type()).Elem()
+		if err := scalar(to, text); err != nil {
+			panic(fmt.Sprintf("config: bound of %s: %v", k.Path, err))
+		}
+		return to
+	}
+	compare := func(x, y reflect.Value) int {
+		switch {
+		case v.Kind() == reflect.Float64:
+			if !(x.Float() >= y.Float()) { // NaN is under all bounds
+				return -1
+			}
+			return 1
+		case x.Int() < y.Int():
+			return -1
+		}
+		return 1
+	}
+	if k.Min != "" && compare(v, bound(k.Min)) < 0 {
+		return false
+	}
+	return k.Max == "" || compare(bound(k.Max), v) > 0
+}
+
+// Given returns where a file gives a key, such as "callers.head_time".
+func (s *Settings) Given(path string) (Position, bool) {
+	at, ok := s.given[path]
+	return at, ok
+}
+
+// Value is a key's value in effect.
+type Value struct {
+	Path, Text string
+	Live       bool
+}
+
+// Values lists the values in effect, defaults and all; what is neither given nor has a default
+// is left out. Two files with the same values have the same effect.
+func (s *Settings) Values() []Value {
+	return valuesOf(reflect.ValueOf(s).Elem(), "", nil)
+}
+
+func valuesOf(part reflect.Value, prefix string, out []Value) []Value {
+	for i := range part.NumField() {
+		f, v := part.Type().Field(i), part.Field(i)
+		key := f.Tag.Get("key")
+		switch {
+		case key == "":
+		case v.Kind() == reflect.Struct:
+			out = valuesOf(v, prefix+key+".", out)
+		case v.Kind() == reflect.Map:
+			for _, name := range sortedKeys(v) {
+				out = valuesOf(v.MapIndex(reflect.ValueOf(name)).Elem(), prefix+key+"."+quoteKey(name)+".", out)
+			}
+		case v.Kind() == reflect.Pointer && v.IsNil(), f.Tag.Get("default") == "" && v.IsZero():
+		default:
+			out = append(out, Value{prefix + key, valueText(v), f.Tag.Get("reload") == "live"})
+		}
+	}
+	return out
+}
+
+// valueText writes a value as the file does.
+func valueText(v reflect.Value) string {
+	if v.Kind() == reflect.Pointer {
+		v = v.Elem()
+	}
+	switch x := v.Interface().(type) {
+	case time.Duration:
+		return strconv.Quote(FormatTime(x))
+	case Size:
+		return strconv.Quote(x.String())
+	case string:
+		return strconv.Quote(x)
+	case []string:
+		quoted := make([]string, len(x))
+		for i, s := range x {
+			quoted[i] = strconv.Quote(s)
+		}
+		return "[" + strings.Join(quoted, ", ") + "]"
+	case float64:
+		return strconv.FormatFloat(x, 'g', -1, 64)
+	}
+	return fmt.Sprint(v.Interface())
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -22,18 +22,8 @@
 )
 
 const (
-	// watchGap is the least time between two calls. An agent that answers at
-	// once must not be asked in a busy loop, and a watch goes on only if the next
-	// call comes within 200 ms of the last answer.
-	watchGap = 100 * time.Millisecond
-
-	// A watch may wait so long for news, and its answer may take so long beyond
-	// that. An agent on this machine may fall silent and leave a call unanswered
-	// after it has news again, so it is asked well within a drain's grace.
-	pushWait, pushAnswer = 200 * time.Millisecond, 200 * time.Millisecond
-	askWait, askAnswer   = 20 * time.Second, 2 * time.Second
-
-	maxList = 2 << 20 // the most bytes of a list: some ten thousand endpoints
+	maxList     = 2 << 20  // the most bytes of a list: some ten thousand endpoints
+	maxListHead = 16 << 10 // the most bytes of its header
 )
 
 // names gives instances and zones the numbers by which the module knows them.
@@ -113,6 +103,7 @@
 // Discovery keeps the engine's list of endpoints up to date.
 type Discovery struct {
 	asks       bool          // the module asks for the list; else it is pushed
+	gap        time.Duration // the least time between two calls: one answered at once must not be a busy loop
 	wait, late time.Duration // how long a call may wait, and its answer take beyond
 	engine     *Engine
 	client     *http.Client
@@ -127,17 +118,20 @@
 }
 
 // NewDiscovery returns the Discovery of an engine.
-func NewDiscovery(c *config.Platform, e *Engine) *Discovery {
+func NewDiscovery(c *config.Config, e *Engine) *Discovery {
 	d := &Discovery{
-		addr: c.Discovery, asks: c.Module.AskDiscovery, wait: pushWait, late: pushAnswer, engine: e,
-		transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxAnswerHeader}, cancel: func() {},
+		addr: c.Discovery, asks: c.Module.AskDiscovery, engine: e, gap: c.Settings.Discovery.Pause,
+		// An agent on this machine may fall silent and leave a call unanswered after it has news
+		// again, so it is asked well within a drain's grace.
+		wait: c.Settings.Discovery.PushWait, late: c.Settings.Discovery.PushAnswer,
+		transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxListHead}, cancel: func() {},
 	}
 	d.client = &http.Client{Transport: d.transport}
 	if len(c.Known.Instances) > 0 {
 		d.index = c.Known.Index()
 	}
 	if d.asks {
-		d.wait, d.late = askWait, askAnswer
+		d.wait, d.late = c.Settings.Discovery.AskWait, c.Settings.Discovery.AskAnswer
 	}
 	return d
 }
@@ -194,7 +188,7 @@
 			if d.asks {
 				d.engine.refused()
 			}
-			pause(ctx, watchGap)
+			pause(ctx, d.gap)
 		}
 	}
 }
@@ -217,7 +211,7 @@
 		if d.asks || l.Reset || len(l.Instances) > 0 {
 			d.engine.list(l)
 		}
-		pause(ctx, watchGap-time.Since(asked))
+		pause(ctx, d.gap-time.Since(asked))
 	}
 }
 
--- a/internal/sidecar/door.go
+++ b/internal/sidecar/door.go
@@ -16,8 +16,9 @@
 	once   sync.Once
 }
 
-func newDoor(l net.Listener, most int) *door {
-	return &door{Listener: l, places: make(chan struct{}, most), shut: make(chan struct{})}
+// newDoor returns a door; those with the same places share them.
+func newDoor(l net.Listener, places chan struct{}) *door {
+	return &door{Listener: l, places: places, shut: make(chan struct{})}
 }
 
 // Accept waits for a place, then for a connection.
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -21,7 +21,8 @@
 	origin     time.Time // of the module's clock, which read epoch then
 	epoch      time.Duration
 	pool       *pool
-	probePath  string
+	cfg        *config.Config
+	settings   *live
 	subscribed chan struct{} // the module wants a watch
 	ready      atomic.Bool   // it knows of endpoints
 
@@ -82,13 +83,13 @@
 }
 
 // NewEngine returns an Engine that knows the list in its configuration.
-func NewEngine(c *config.Platform) (*Engine, error) {
+func NewEngine(c *config.Config) (*Engine, error) {
 	b, err := balance.New(c.Module, c.Seed)
 	if err != nil {
 		return nil, err
 	}
 	e := &Engine{
-		origin: time.Now(), pool: newPool(c), probePath: "/load",
+		origin: time.Now(), pool: newPool(c), cfg: c,
 		subscribed: make(chan struct{}, 1),
 		balancer:   b, names: newNames(c.Zones),
 		endpoints: make(map[balance.EndpointID]*endpoint),
@@ -97,9 +98,7 @@
 	// The module's clock goes on from Unix time without steps, so that the time an
 	// endpoint started needs no conversion and is the same in every list.
 	e.epoch = time.Duration(e.origin.UnixNano())
-	if c.Module.Reporting == balance.ReportsNone {
-		e.probePath = "/healthz"
-	}
+	e.settings = e.pool.settings
 	e.update(balance.ListRemember, &c.Known)
 	return e, nil
 }
@@ -266,7 +265,7 @@
 	go func() {
 		a := answer{result: balance.NotSent}
 		if !left {
-			a = e.pool.probe(way, e.probePath)
+			a = e.pool.probe(way, e.cfg.ProbePath(e.settings.Load()))
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- /dev/null
+++ b/internal/sidecar/live.go
@@ -0,0 +1,33 @@
+package sidecar
+
+import (
+	"sync/atomic"
+	"time"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+)
+
+// live holds the settings at hand. What SIGHUP may change is read from it each time.
+type live struct {
+	atomic.Pointer[config.Settings]
+}
+
+func newLive(s *config.Settings) *live {
+	l := new(live)
+	l.Store(s)
+	return l
+}
+
+// Apply has the sidecar go by other settings, as far as they need no restart. They must have
+// passed internal/check beside the configuration that the sidecar was started with.
+func (e *Engine) Apply(s *config.Settings) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.Store(s)
+	for i, k := range e.cfg.Limited(s) {
+		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
+			return e.balancer.Bound(now, i, k, acts)
+		})
+	}
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -15,13 +15,13 @@
 	"sync"
 	"syscall"
 	"time"
-)
 
-const (
-	maxAnswerHeader = 16 << 10 // the most bytes of an answer's header, 1xx answers and all
-	maxInterim      = 8        // the most 1xx answers ahead of one
+	"barleydrum.example/barleydrum/internal/config"
 )
 
+// maxInterim is the most 1xx answers ahead of one.
+const maxInterim = 8
+
 // route is the way to one process of an endpoint. Its connections are of no use to another
 // process, also where that has its id or its address: each has a route of its own.
 type route struct {
@@ -34,6 +34,7 @@
 	dialer    net.Dialer
 	keepAlive time.Duration // how long a connection may stand idle
 	slots     chan struct{} // one for each connection that is open
+	settings  *live
 
 	mu       sync.Mutex
 	idle     list.List // of *conn, the one unused for longest first
@@ -204,8 +205,8 @@
 
 // read reads the answer to a request, its body whole. Used again may be only a connection
 // that is left with nothing to read and whose answer does not close it.
-func (c *conn) read(req *http.Request) (resp *http.Response, body []byte, reuse bool, err error) {
-	left := maxAnswerHeader
+func (c *conn) read(req *http.Request, most config.Endpoints) (resp *http.Response, body []byte, reuse bool, err error) {
+	left := int(most.MaxAnswerHead)
 	for range maxInterim + 1 {
 		head, err := c.readHead(left)
 		if err != nil {
@@ -226,7 +227,7 @@
 		case resp.StatusCode < 200:
 			continue
 		}
-		if body, err = readBody(resp, closes); err != nil {
+		if body, err = readBody(resp, closes, int64(most.MaxAnswer)); err != nil {
 			return nil, nil, false, err
 		}
 		return resp, body, !resp.Close && in.Buffered() == 0 && c.in.Buffered() == 0, nil
@@ -275,9 +276,9 @@
 
 // readBody reads an answer's body. One that is too long by its header is not read, and one
 // that ends with the connection must say so: it could not be told from one that broke off.
-func readBody(resp *http.Response, closes bool) ([]byte, error) {
+func readBody(resp *http.Response, closes bool, most int64) ([]byte, error) {
 	switch {
-	case resp.ContentLength > maxBody:
+	case resp.ContentLength > most:
 		return nil, spoilt{fmt.Errorf("body of %d bytes", resp.ContentLength)}
 	case resp.ContentLength >= 0:
 		body := make([]byte, resp.ContentLength)
@@ -286,13 +287,13 @@
 	case len(resp.TransferEncoding) == 0 && !closes:
 		return nil, spoilt{errors.New("body without a length")}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
 	switch netErr := net.Error(nil); {
 	case err == io.ErrUnexpectedEOF, errors.As(err, &netErr):
 		return nil, err
 	case err != nil:
 		return nil, spoilt{err}
-	case len(body) > maxBody:
+	case int64(len(body)) > most:
 		return nil, spoilt{errors.New("body too long")}
 	}
 	return body, nil
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,44 +19,17 @@
 	"barleydrum.example/barleydrum/internal/config"
 )
 
-const (
-	maxHeader = 16 << 10
-	maxID     = 256
-
-	// headTime is how long a caller may take over a request's header, and before its first,
-	// bodyTime over its body. Together they end a request that does not come within 3 s.
-	headTime = 2 * time.Second
-	bodyTime = 700 * time.Millisecond
-
-	// writeTime is how long a caller may take to read an answer.
-	writeTime = 5 * time.Second
-
-	// callerIdle is how long a caller's connection may stand idle. Some are kept for good
-	// after one request.
-	callerIdle = 5 * time.Second
-
-	// graceTime is how long a connection on which part of a request has come is kept even
-	// where its place is wanted.
-	graceTime = 100 * time.Millisecond
-
-	// answerMargin is what is kept of a caller's time for the answer's way back and
-	// for the scheduler, and once more for the balancer to end what it began.
-	answerMargin = 10 * time.Millisecond
-
-	// lingerTime is how long connections go on coming after SIGTERM, with some to spare.
-	lingerTime = 500 * time.Millisecond
-
-	// shutdownSpare is the time beyond the longest deadline after which nothing is waited for.
-	shutdownSpare = 200 * time.Millisecond
-)
+// maxID is the most bytes of a request's id.
+const maxID = 256
 
 // Server takes the callers' requests.
 type Server struct {
-	cfg      *config.Platform
+	cfg      *config.Config
 	engine   *Engine
 	http     http.Server
 	most     int           // connections
-	linger   time.Duration // how long Shutdown goes on accepting
+	places   chan struct{} // one for each of them
+	settings *live
 	draining atomic.Bool
 
 	mu      sync.Mutex
@@ -82,9 +55,10 @@
 )
 
 // NewServer returns a Server that hands its requests to an engine.
-func NewServer(c *config.Platform, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, most: c.CallerConnections(), linger: lingerTime,
+func NewServer(c *config.Config, e *Engine) *Server {
+	s := &Server{cfg: c, engine: e, most: c.CallerConnections(), settings: e.settings,
 		callers: make(map[net.Conn]*caller), ids: make(map[string]bool)}
+	s.places = make(chan struct{}, s.most)
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch err := checkFraming(r); {
@@ -96,9 +70,9 @@
 				s.call(w, r)
 			}
 		}),
-		ReadHeaderTimeout: headTime,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: c.Settings.Callers.HeadTime,
+		IdleTimeout:       c.Settings.Callers.IdleTime,
+		MaxHeaderBytes:    int(c.Settings.Callers.MaxHead),
 		ConnState:         s.connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -107,9 +81,9 @@
 	return s
 }
 
-// Serve serves until Shutdown.
+// Serve serves one listener until Shutdown. Several may be served together.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(newDoor(l, s.most)); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(newDoor(l, s.places)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -158,7 +132,7 @@
 		}
 		if !s.looking {
 			s.looking = true
-			time.AfterFunc(graceTime, func() {
+			time.AfterFunc(s.settings.Load().Callers.EvictionGrace, func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.looking = false
@@ -173,10 +147,11 @@
 // the one that has just come, and tells whether there was one.
 func (s *Server) evict(newest net.Conn) bool {
 	var out net.Conn
+	grace := s.settings.Load().Callers.EvictionGrace
 	for c, k := range s.callers {
 		switch {
 		case c == newest && k.stage != idle, k.stage == taken:
-		case k.stage == partial && time.Since(k.since) < graceTime:
+		case k.stage == partial && time.Since(k.since) < grace:
 		case k.stage == silent && !quiet(c): // a request is about to be read
 		case out == nil, k.stage < s.callers[out].stage,
 			k.stage == s.callers[out].stage && k.since.Before(s.callers[out].since):
@@ -213,8 +188,9 @@
 func (s *Server) Shutdown() {
 	s.draining.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
-	time.Sleep(s.linger)
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.LongestDeadline()+shutdownSpare)
+	end := s.settings.Load().Shutdown
+	time.Sleep(end.Linger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.LongestDeadline()+end.Spare)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil { // a caller that sent no whole request is owed nothing
 		slog.Warn("shutdown: connections left", "err", err)
@@ -231,11 +207,11 @@
 
 // call serves one request.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
-	came := time.Now()
+	came, set := time.Now(), s.settings.Load().Callers
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(came.Add(bodyTime)) // also for what is left of a body that is turned away
-	control.SetWriteDeadline(came.Add(writeTime))
-	if r.ContentLength > maxBody {
+	control.SetReadDeadline(came.Add(set.BodyTime)) // also for what is left of a body that is turned away
+	control.SetWriteDeadline(came.Add(set.WriteTime))
+	if r.ContentLength > int64(set.MaxBody) {
 		reject(w, http.StatusRequestEntityTooLarge, fmt.Errorf("body: %d bytes are too many", r.ContentLength))
 		return
 	}
@@ -261,12 +237,12 @@
 	}
 	control.SetReadDeadline(time.Time{})
 
-	margin := min(answerMargin, c.Budget/10)
+	margin := min(set.AnswerMargin, c.Budget/10)
 	ctx, cancel := context.WithDeadline(r.Context(), came.Add(c.Budget-margin))
 	defer cancel()
 	c.Budget -= 2*margin + time.Since(came)
 	f := s.engine.serve(ctx, c)
-	control.SetWriteDeadline(time.Now().Add(writeTime))
+	control.SetWriteDeadline(time.Now().Add(set.WriteTime))
 	writeFinal(w, f)
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,20 +13,11 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 )
 
-const (
-	maxBody = 64 << 10 // the most bytes of a body, either way
-
-	defaultConnectTimeout = 250 * time.Millisecond
-	probeTimeout          = 250 * time.Millisecond
-	defaultKeepAlive      = 10 * time.Second
-)
-
 // Why an attempt was ended from this side.
 var (
 	errCanceled = errors.New("canceled by the balancer")
@@ -37,14 +27,15 @@
 )
 
 // newPool returns the pool of a sidecar.
-func newPool(c *config.Platform) *pool {
+func newPool(c *config.Config) *pool {
 	p := &pool{
-		dialer: net.Dialer{Timeout: cmp.Or(c.Module.Limits.ConnectTimeout, defaultConnectTimeout)},
-		slots:  make(chan struct{}, c.EndpointConnections()),
+		dialer:   net.Dialer{Timeout: c.ConnectTime()},
+		slots:    make(chan struct{}, c.EndpointConnections()),
+		settings: newLive(c.Settings),
 	}
 	// Idle connections must close here first: a request written as the endpoint
 	// closes is reset, and may have run for all that is known.
-	keep := cmp.Or(c.Module.Limits.KeepAlive, defaultKeepAlive)
+	keep := c.KeepAlive()
 	p.keepAlive = keep - keep/10
 	return p
 }
@@ -102,7 +93,7 @@
 		c.Close()
 		return answer{result: x.failure(false, err)}
 	}
-	resp, got, reuse, err := c.read(req)
+	resp, got, reuse, err := c.read(req, c.pool.settings.Load().Endpoints)
 	if stop() && reuse {
 		c.pool.put(c)
 	} else {
@@ -147,7 +138,7 @@
 
 // probe asks an endpoint for its load, or where there are no reports whether it is well.
 func (p *pool) probe(to *route, path string) answer {
-	ctx, cancel := context.WithTimeoutCause(context.Background(), probeTimeout, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(context.Background(), p.settings.Load().Probe.Time, errDeadline)
 	defer cancel()
 	x := &exchange{ctx: ctx}
 	req := &http.Request{
