Add drumctl: write, check, explain and diff of the configuration

Need: an operator had no way to make a file, to see what is wrong with one before a sidecar meets it, or to know what a file leads to.

Check and explain are internal/check, which the program runs too. Classes get late_worth, so that an installation without a platform can have answers after the wanted time.

Measured: files written for order-front, order-check and run-booking pass check with no word, alone and together.

--- /dev/null
+++ b/cmd/drumctl/config.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"barleydrum.example/barleydrum/internal/check"
+	"barleydrum.example/barleydrum/internal/config"
+)
+
+// read reads files for the checker. A file that can't be read is a finding of its, not an
+// error of ours.
+func read(names []string) []check.File {
+	var out []check.File
+	seen := make(map[string]bool)
+	for _, name := range names {
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		text, err := config.ReadFile(name, config.MaxPlatform)
+		out = append(out, check.File{Name: name, Text: text, Err: err})
+	}
+	return out
+}
+
+// verdict is what check says as JSON.
+type verdict struct {
+	Files    int              `json:"files"`
+	Refused  int              `json:"refused"`
+	Warnings int              `json:"warnings"`
+	Findings []config.Finding `json:"findings"`
+}
+
+// say prints findings and their count, and returns errRefused if one of them refuses.
+func say(w io.Writer, as output, files int, findings []config.Finding) error {
+	v := verdict{Files: files, Findings: findings}
+	if findings == nil {
+		v.Findings = []config.Finding{}
+	}
+	for _, f := range findings {
+		if f.Level == config.Refused {
+			v.Refused++
+		} else {
+			v.Warnings++
+		}
+	}
+	if as == "json" {
+		if err := writeJSON(w, v); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range findings {
+			fmt.Fprintln(w, f)
+		}
+		fmt.Fprintf(w, "%d checked: %d refused, %d warnings\n", v.Files, v.Refused, v.Warnings)
+	}
+	if v.Refused > 0 {
+		return errRefused
+	}
+	return nil
+}
+
+func checkCommand() *cobra.Command {
+	var as output
+	c := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check one file, or a whole deployment at once",
+		Long: `Check operators' files (TOML) and platforms' configurations (the JSON of PROXY_CONFIG).
+
+An operators' file is checked beside every platform's configuration that sends to its tier, as
+the program checks the two at its start; with none, by itself. All files together are checked
+for addresses that two listeners claim, tiers that call each other in a circle, and sidecars
+that are miscounted.`,
+		Example: "  drumctl config check order-front.toml\n  drumctl config check order-front.toml run/*.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			files := read(args)
+			return say(c.OutOrStdout(), as, len(files), check.Deployment(files))
+		},
+	}
+	as.flag(c)
+	return c
+}
+
+func explainCommand() *cobra.Command {
+	var as output
+	c := &cobra.Command{
+		Use:   "explain FILE...",
+		Short: "Tell the worst that follows from a configuration, for each class",
+		Long: `Tell for each class how many attempts a request may have, over what time, when the last may
+begin, where it may go, and what a refusal and a failure promise. Files are put together as by
+check; one that is refused is not explained.`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			files := read(args)
+			all, findings := check.Explain(files)
+			if config.Failed(findings) {
+				return say(c.OutOrStdout(), as, len(files), findings)
+			}
+			if as == "json" {
+				return writeJSON(c.OutOrStdout(), all)
+			}
+			for i, x := range all {
+				if i > 0 {
+					fmt.Fprintln(c.OutOrStdout())
+				}
+				x.WriteText(c.OutOrStdout())
+			}
+			return nil
+		},
+	}
+	as.flag(c)
+	return c
+}
+
+func diffCommand() *cobra.Command {
+	var as output
+	var code bool
+	c := &cobra.Command{
+		Use:   "diff A B",
+		Short: "Tell what differs in effect between two files of a kind",
+		Long: `Tell what differs in effect, not in text: order, comments, units and values that say what
+leaving them out means make no difference. Both files are operators' files, or both platforms'
+configurations; neither is checked for more than that it can be read.`,
+		Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			files := read(args)
+			if len(files) < 2 { // a file and itself
+				files = append(files, files[0])
+			}
+			if check.IsPlatform(files[0].Text) != check.IsPlatform(files[1].Text) && files[0].Err == nil && files[1].Err == nil {
+				return errors.New("diff: one is an operators' file, the other a platform's configuration")
+			}
+			var values [2][]config.Value
+			var findings []config.Finding
+			for i, f := range files {
+				var bad []config.Finding
+				if values[i], bad = valuesOf(f); len(bad) > 0 {
+					findings = append(findings, bad...)
+				}
+			}
+			if len(findings) > 0 {
+				return say(c.OutOrStdout(), as, len(files), findings)
+			}
+			changes := config.Diff(values[0], values[1])
+			if as == "json" {
+				if changes == nil {
+					changes = []config.Change{}
+				}
+				if err := writeJSON(c.OutOrStdout(), changes); err != nil {
+					return err
+				}
+			} else {
+				for _, change := range changes {
+					when := "at a restart"
+					if change.Live {
+						when = "at SIGHUP"
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s (%s)\n", change, when)
+				}
+			}
+			if code && len(changes) > 0 {
+				return errRefused
+			}
+			return nil
+		},
+	}
+	as.flag(c)
+	c.Flags().BoolVar(&code, "exit-code", false, "exit with 1 if something differs")
+	return c
+}
+
+func valuesOf(f check.File) ([]config.Value, []config.Finding) {
+	if f.Err == nil && check.IsPlatform(f.Text) {
+		p, bad := check.Platform(f)
+		if len(bad) > 0 {
+			return nil, bad
+		}
+		return p.Values(), nil
+	}
+	s, bad := check.Settings(f)
+	if len(bad) > 0 {
+		return nil, bad
+	}
+	return s.Values(), nil
+}
+
+func referenceCommand() *cobra.Command {
+	var template bool
+	c := &cobra.Command{
+		Use:   "reference",
+		Short: "Print the reference page of the operators' file, or a template of it",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if template {
+				_, err := c.OutOrStdout().Write(check.Template())
+				return err
+			}
+			_, err := io.WriteString(c.OutOrStdout(), check.Reference())
+			return err
+		},
+	}
+	c.Flags().BoolVar(&template, "template", false, "a commented file with every key")
+	return c
+}
+
+// write writes a file that must not stand yet, unless force is set, whole or not at all.
+func write(name string, text []byte, force bool) error {
+	if !force {
+		if _, err := os.Lstat(name); err == nil {
+			return fmt.Errorf("%s: exists; --force replaces it", name)
+		}
+	}
+	part := name + ".part"
+	if err := os.WriteFile(part, text, 0o644); err != nil {
+		return err
+	}
+	if err := os.Rename(part, name); err != nil {
+		return errors.Join(err, os.Remove(part))
+	}
+	return nil
+}
+
+// described turns the text of a class's description, such as
+// "place-order,wanted=1540ms,semantics=keyed", into lines of TOML.
+func described(text string) (string, error) {
+	name, rest, _ := strings.Cut(text, ",")
+	if name == "" || strings.Contains(name, "=") {
+		return "", fmt.Errorf("--class %q: begins with the class's name", text)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "[class.%q]\n", name)
+	for _, part := range strings.Split(rest, ",") {
+		if part == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(part, "=")
+		if !ok {
+			return "", fmt.Errorf("--class %q: %q is not KEY=VALUE", text, part)
+		}
+		key = strings.ReplaceAll(strings.TrimSpace(key), "-", "_")
+		switch value = strings.TrimSpace(value); key {
+		case "attempts", "retries", "second_copies", "worth":
+			fmt.Fprintf(&b, "%s = %s\n", key, value)
+		default:
+			fmt.Fprintf(&b, "%q = %q\n", key, value)
+		}
+	}
+	return b.String(), nil
+}
--- /dev/null
+++ b/cmd/drumctl/main_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"barleydrum.example/barleydrum/internal/check"
+)
+
+// drumctl runs a command line.
+func drumctl(args ...string) (code int, out, errs string) {
+	var o, e strings.Builder
+	code = run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+// apps are the descriptions of the three applications of the users' wish.
+var apps = map[string][]string{
+	"order-front": {
+		"--calls", "order-check", "--listen", "127.0.0.1:9000", "--discovery", "127.0.0.1:8500", "--zone", "campus-east",
+		"--zones", "campus-east,campus-west", "--sidecars", "2",
+		"--class", "place-order,wanted=1540ms,deadline=3850ms,semantics=keyed,scope=all,repeat-window=10s",
+	},
+	"order-check": {
+		"--calls", "run-booking", "--listen", "127.0.0.1:9001", "--discovery", "127.0.0.1:8501", "--sidecars", "4", "--number", "3",
+		"--class", "place-order,wanted=1200ms,deadline=3000ms,semantics=keyed,scope=zone,repeat-window=10s,retries=1,attempts=4",
+	},
+	"run-booking": {
+		"--listen", "127.0.0.1:9002", "--discovery", "127.0.0.1:8502",
+		"--class", "place-order,wanted=800ms,deadline=2s,semantics=unsafe,attempts=3", "--class", "look-up,wanted=1s,deadline=2s,semantics=safe,attempts=3",
+	},
+}
+
+// A file is accepted as it is written, for each of the applications and for all together, and
+// reading it has the effect that was described.
+func TestWriteIsAccepted(t *testing.T) {
+	dir := t.TempDir()
+	all := []string{"config", "check"}
+	for app, flags := range apps {
+		name := filepath.Join(dir, app+".toml")
+		if code, _, errs := drumctl(append([]string{"config", "write", app, "--file", name}, flags...)...); code != 0 {
+			t.Fatalf("%s: %d %s", app, code, errs)
+		}
+		if code, _, errs := drumctl("config", "write", app, "--file", name); code != 2 || !strings.Contains(errs, "exists") {
+			t.Errorf("%s, again: %d %s", app, code, errs)
+		}
+		if code, out, _ := drumctl("config", "check", name); code != 0 || !strings.Contains(out, "0 refused, 0 warnings") {
+			t.Errorf("%s: %d %s", app, code, out)
+		}
+		all = append(all, name)
+	}
+	if code, out, _ := drumctl(all...); code != 0 || !strings.HasPrefix(out, "3 checked: 0 refused") {
+		t.Errorf("together: %d %s", code, out)
+	}
+	_, out, _ := drumctl("config", "explain", filepath.Join(dir, "run-booking.toml"))
+	for _, want := range []string{
+		"class place-order, unsafe", "3 at most, none of them after one that may have run; never two out together",
+		"by 800ms at the latest (wanted within 800ms, the client waits 2s)", "no attempt has run", "class look-up, safe",
+	} {
+		if !strings.Contains(out, want) {
+			t.Errorf("explain lacks %q:\n%s", want, out)
+		}
+	}
+	_, out, _ = drumctl("config", "explain", "--output", "json", filepath.Join(dir, "order-check.toml"))
+	var all2 []check.Explanation
+	if err := json.Unmarshal([]byte(out), &all2); err != nil || len(all2) != 1 || len(all2[0].Classes) != 1 {
+		t.Fatalf("%v: %s", err, out)
+	}
+	if k := all2[0].Classes[0]; k.Attempts != 4 || k.Retries != 1 || k.Scope != "zone" || !k.SecondCopies || !strings.Contains(k.Where, "endpoints of its zone") ||
+		k.LastBegin.Milliseconds() != 1200 {
+		t.Errorf("%+v", k)
+	}
+}
+
+// What check would refuse is not written.
+func TestWriteRefuses(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "x.toml")
+	for class, want := range map[string]string{
+		"pay,wanted=1s,deadline=2s,semantics=unsafe,retries=1": "unsafe-retried", "pay,wanted=1s": "missing-key",
+		"pay,wanted=1s,deadline=2s,semantics=safe,patience=1s": "unknown-key", "pay,wanted=1540": "out-of-range",
+		"pay,wanted=1540ms,deadline=2s,semantics=keyed,scope=all,repeat-window=10s,retry-within=1541ms": "retry-past-wanted",
+	} {
+		code, _, errs := drumctl("config", "write", "pay", "--listen", "127.0.0.1:1", "--discovery", "127.0.0.1:2", "--class", class, "--file", name)
+		if code != 1 || !strings.Contains(errs, want) {
+			t.Errorf("%s: %d %s", class, code, errs)
+		}
+	}
+	if _, err := os.Stat(name); err == nil {
+		t.Error("a file was written")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	bad, good := filepath.Join(dir, "bad.toml"), filepath.Join(dir, "good.toml")
+	for name, text := range map[string]string{bad: "schema = 1\n[application]\nnam = \"x\"\n", good: "schema = 1\n[application]\nname = \"x\"\n"} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	none := filepath.Join(dir, "none.toml")
+	for _, c := range []struct {
+		want int
+		args []string
+	}{
+		{0, []string{}}, {0, []string{"--help"}}, {0, []string{"config"}}, {0, []string{"completion", "bash"}},
+		{0, []string{"config", "check", good}}, {1, []string{"config", "check", bad}}, {1, []string{"config", "check", none}},
+		{1, []string{"config", "check", dir}}, {1, []string{"config", "check", good, bad}},
+		{0, []string{"config", "explain", good}}, {1, []string{"config", "explain", bad}},
+		{0, []string{"config", "diff", good, good}}, {1, []string{"config", "diff", good, bad}},
+		{2, []string{"config", "check"}}, {2, []string{"config", "chek", good}}, {2, []string{"config", "check", "--outptu", "json", good}},
+		{2, []string{"config", "check", "--output", "yaml", good}}, {2, []string{"config", "diff", good}}, {2, []string{"nonsense"}},
+		{2, []string{"config", "write", "x", "--class", "=1"}}, {2, []string{"config", "write", "x", "--class", "a,b"}},
+	} {
+		if code, out, errs := drumctl(c.args...); code != c.want || code == 2 && errs == "" {
+			t.Errorf("%v: %d, want %d\n%s%s", c.args, code, c.want, out, errs)
+		}
+	}
+	code, out, _ := drumctl("config", "check", "--output", "json", bad, none)
+	var v verdict
+	if err := json.Unmarshal([]byte(out), &v); err != nil || code != 1 || v.Files != 2 || v.Refused != 2 || v.Findings[0].Key != "application.nam" || v.Findings[0].Line != 3 {
+		t.Errorf("%d %v %s", code, err, out)
+	}
+}
+
+// Diff tells of effect: units, order and comments make none.
+func TestDiff(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		name = filepath.Join(dir, name)
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return name
+	}
+	a := write("a.toml", "schema = 1\n[application]\nname = \"x\"\n[probe]\ntime = \"250ms\"\n[class.a]\nwanted = \"1s\"\nretries = 1\n")
+	b := write("b.toml", "# the same\nclass.a = { retries = 1, wanted = \"1000ms\" }\nschema = 1\napplication.name = \"x\"\n")
+	c := write("c.toml", "schema = 1\n[application]\nname = \"x\"\n[class.a]\nwanted = \"2s\"\nretries = 2\n")
+	if code, out, errs := drumctl("config", "diff", "--exit-code", a, b); code != 0 || out != "" {
+		t.Errorf("%d %s%s", code, out, errs)
+	}
+	code, out, _ := drumctl("config", "diff", "--exit-code", a, c)
+	if want := "class.a.retries: 1 -> 2 (at SIGHUP)\nclass.a.wanted: \"1s\" -> \"2s\" (at a restart)\n"; code != 1 || out != want {
+		t.Errorf("%d %s", code, out)
+	}
+	p := `{"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1", "limits": {"sockets": 512},
+"settings": {"classes": [{"name": "a", "goalTimeNs": 1000000, "hardLimitNs": 2000000, "semantics": "safe"}]}}`
+	j, k := write("j.json", p), write("k.json", strings.NewReplacer("512", "256", "safe", "unsafe", `"seed": "1"`, `"seed": "2"`).Replace(p))
+	_, out, _ = drumctl("config", "diff", j, k)
+	if want := "Limits.Sockets: 512 -> 256 (at a restart)\nSettings.Classes[a].Semantics: (not set) -> unsafe (at a restart)\n"; out != want {
+		t.Errorf("%s", out)
+	}
+	if code, _, errs := drumctl("config", "diff", a, j); code != 2 || !strings.Contains(errs, "the other a platform") {
+		t.Errorf("%d %s", code, errs)
+	}
+}
+
+// The reference page and the template are what the program's schema says. After a change to
+// the schema or the rules, write them anew as the pages tell.
+func TestPagesAreTheSchemas(t *testing.T) {
+	for name, args := range map[string][]string{
+		"../../docs/operators/settings.md": {"config", "reference"}, "../../deploy/settings.toml": {"config", "reference", "--template"},
+	} {
+		page, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, out, _ := drumctl(args...); out != string(page) {
+			t.Errorf("%s differs from what drumctl %s prints", name, strings.Join(args, " "))
+		}
+	}
+	if code, out, _ := drumctl("config", "check", "../../deploy/settings.toml"); code != 0 {
+		t.Errorf("the template is refused: %s", out)
+	}
+}
--- /dev/null
+++ b/cmd/drumctl/write.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"barleydrum.example/barleydrum/internal/check"
+	"barleydrum.example/barleydrum/internal/config"
+)
+
+func writeCommand() *cobra.Command {
+	var tier, listen, discovery, zone, file string
+	var calls, zones, classes []string
+	var sidecars, number int
+	var force bool
+	c := &cobra.Command{
+		Use:   "write APP",
+		Short: "Write a commented file for one application from a short description",
+		Long: `Write an operators' file for the application APP, with a comment on each key.
+
+A class is described as NAME,KEY=VALUE,... with the keys of [class.NAME]. With --listen and
+--discovery the file says all that a sidecar needs; without them it is for use beside a
+platform's configuration. What check would refuse is not written.`,
+		Example: `  drumctl config write order-front --calls order-check \
+      --listen 127.0.0.1:9000 --discovery 127.0.0.1:8500 \
+      --class place-order,wanted=1540ms,deadline=3850ms,semantics=keyed,scope=all,repeat-window=10s`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var b strings.Builder
+			fmt.Fprintf(&b, "schema = %d\n[application]\nname = %q\n", config.Schema, args[0])
+			if tier == "" {
+				tier = args[0]
+			}
+			text := func(key, value string) {
+				if value != "" {
+					fmt.Fprintf(&b, "%s = %q\n", key, value)
+				}
+			}
+			list := func(key string, values []string) {
+				if len(values) > 0 {
+					fmt.Fprintf(&b, "%s = [%s]\n", key, quoteAll(values))
+				}
+			}
+			text("tier", tier)
+			list("calls", calls)
+			text("listen", listen)
+			text("discovery", discovery)
+			if zone != "" || len(zones) > 0 || sidecars > 0 || number > 0 {
+				b.WriteString("[fleet]\n")
+				text("zone", zone)
+				list("zones", zones)
+				if sidecars > 0 {
+					fmt.Fprintf(&b, "sidecars = %d\n", sidecars)
+				}
+				if number > 0 {
+					fmt.Fprintf(&b, "number = %d\n", number)
+				}
+			}
+			for _, class := range classes {
+				part, err := described(class)
+				if err != nil {
+					return err
+				}
+				b.WriteString(part)
+			}
+			s, findings := config.ParseSettings("", []byte(b.String()))
+			if len(findings) == 0 {
+				findings = check.Deployment([]check.File{{Text: []byte(b.String())}})
+			}
+			if config.Failed(findings) {
+				for i := range findings { // lines of a text that nobody has seen
+					findings[i].Position = config.Position{}
+				}
+				return say(c.ErrOrStderr(), "text", 1, findings)
+			}
+			if file == "" {
+				_, err := c.OutOrStdout().Write(config.Write(s))
+				return err
+			}
+			return write(file, config.Write(s), force)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&tier, "tier", "", "the tier whose endpoints the sidecar sends to (default APP)")
+	f.StringSliceVar(&calls, "calls", nil, "the tiers that this tier's endpoints call")
+	f.StringVar(&listen, "listen", "", "where callers connect, HOST:PORT")
+	f.StringVar(&discovery, "discovery", "", "where discovery is, HOST:PORT")
+	f.StringVar(&zone, "zone", "", "the server room")
+	f.StringSliceVar(&zones, "zones", nil, "all server rooms")
+	f.IntVar(&sidecars, "sidecars", 0, "how many sidecars send to the tier")
+	f.IntVar(&number, "number", 0, "this sidecar's number among them, from 0")
+	f.StringArrayVar(&classes, "class", nil, "a class, as NAME,KEY=VALUE,...; once for each")
+	f.StringVarP(&file, "file", "f", "", "the file to write (default standard output)")
+	f.BoolVar(&force, "force", false, "replace the file")
+	return c
+}
+
+func quoteAll(values []string) string {
+	quoted := make([]string, len(values))
+	for i, v := range values {
+		quoted[i] = fmt.Sprintf("%q", v)
+	}
+	return strings.Join(quoted, ", ")
+}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -86,8 +86,22 @@
 // of them for what they claim and how their tiers call each other.
 func Deployment(files []File) []config.Finding {
 	var all report
-	var platforms []*checker
-	var settings []*checker
+	checked, bad := pairs(files)
+	all.add(bad...)
+	for _, c := range checked {
+		c.run()
+		all.add(c.all.findings...)
+	}
+	all.claims(checked)
+	all.circles(checked)
+	all.counts(checked)
+	return all.findings
+}
+
+// pairs reads files and puts those together that a sidecar would run with.
+func pairs(files []File) (checked []*checker, findings []config.Finding) {
+	var all report
+	var platforms, settings []*checker
 	for _, f := range files {
 		if f.Err == nil && IsPlatform(f.Text) {
 			p, bad := Platform(f)
@@ -103,7 +117,6 @@
 			settings = append(settings, newChecker(nil, "", s, f.Name))
 		}
 	}
-	var checked []*checker
 	for _, own := range settings {
 		matched := false
 		for _, p := range platforms {
@@ -131,14 +144,7 @@
 			checked = append(checked, p)
 		}
 	}
-	for _, c := range checked {
-		c.run()
-		all.add(c.all.findings...)
-	}
-	all.claims(checked)
-	all.circles(checked)
-	all.counts(checked)
-	return all.findings
+	return checked, all.findings
 }
 
 // report gathers findings; the same is said once.
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -164,6 +164,7 @@
 		{"deadline under the platform's wanted", "wanted-past-deadline", "class.place-order.wanted", "beside", `wanted = "1540ms"` + "\n" + `deadline = "3850ms"`, "deadline = " + ms(1300, 1530), ""},
 		{"more time than the platform gives", "looser-time", "class.place-order.deadline", "beside", `deadline = "3850ms"`, "deadline = " + ms(3851, 60000), ""},
 		{"wanted later than the platform", "looser-time", "class.place-order.wanted", "beside", `wanted = "1540ms"`, "wanted = " + ms(1541, 3850), ""},
+		{"worth after the platform's end", "looser-time", "class.place-order.late_worth", "beside", `wanted = "1540ms"`, fmt.Sprintf("wanted = \"1540ms\"\nlate_worth = 0.%d", n(1, 9)), ""},
 		{"unsafe taken for keyed", "looser-semantics", "class.place-order.semantics", "pair", `"semantics": "keyed", "keyScope": "all"`, `"semantics": "unsafe"`, "plain"},
 		{"keyed taken for safe", "looser-semantics", "class.place-order.semantics", "beside", `semantics = "keyed"`, `semantics = "safe"`, ""},
 		{"wider scope", "looser-scope", "class.place-order.scope", "pair", `"keyScope": "all"`, `"keyScope": "` + []string{"zone", "cell"}[n(0, 1)] + `"`, ""},
--- a/internal/check/sidecar.go
+++ b/internal/check/sidecar.go
@@ -162,6 +162,9 @@
 		k, of, at := s.Class[name], m.Classes[i], config.ClassKey(name)
 		over("looser-time", at+".wanted", float64(k.Wanted), float64(of.Goal), duration)
 		over("looser-time", at+".deadline", float64(k.Deadline), float64(of.Deadline), duration)
+		if k.LateWorth != nil && *k.LateWorth > of.LateShare {
+			c.refuse("looser-time", at+".late_worth", number(*k.LateWorth), number(of.LateShare)+" at most, as "+c.platformFile+" says")
+		}
 		if k.Semantics != "" && config.Semantics(k.Semantics) < of.Semantics {
 			c.refuse("looser-semantics", at+".semantics", quoted(k.Semantics), quoted(config.SemanticsName(of.Semantics))+" or stricter")
 		}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -147,6 +147,9 @@
 		k.RepeatWindow = less(k.RepeatWindow, s.RepeatWindow)
 	}
 	k.Worth = cmp.Or(s.Worth, k.Worth)
+	if s.LateWorth != nil {
+		k.LateShare = min(k.LateShare, *s.LateWorth)
+	}
 	return limit(k, s)
 }
 
@@ -222,10 +225,14 @@
 	for _, name := range slices.Sorted(maps.Keys(s.Class)) {
 		k := s.Class[name]
 		p.Classes[name] = len(m.Classes)
-		m.Classes = append(m.Classes, balance.Class{
+		class := balance.Class{
 			Name: name, Goal: k.Wanted, Deadline: k.Deadline, Worth: cmp.Or(k.Worth, 1),
 			Semantics: semantics[k.Semantics], Scope: scopes[k.Scope], RepeatWindow: k.RepeatWindow,
-		})
+		}
+		if k.LateWorth != nil {
+			class.LateShare = *k.LateWorth
+		}
+		m.Classes = append(m.Classes, class)
 	}
 	return p
 }
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -1,11 +1,14 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
 	"time"
+
+	"barleydrum.example/barleydrum/balance"
 )
 
 // Key describes a key of the operators' file.
@@ -255,8 +258,42 @@
 			quoted[i] = strconv.Quote(s)
 		}
 		return "[" + strings.Join(quoted, ", ") + "]"
+	case balance.Semantics:
+		return SemanticsName(x)
+	case balance.Scope:
+		return ScopeName(x)
+	case balance.Reporting:
+		return ReportsName(x)
 	case float64:
 		return strconv.FormatFloat(x, 'g', -1, 64)
 	}
 	return fmt.Sprint(v.Interface())
 }
+
+// Values lists what a platform's configuration says, by the names of its fields. Its list of
+// endpoints and its seed are left out: they differ with every start.
+func (p *Platform) Values() []Value {
+	var out []Value
+	var walk func(v reflect.Value, path string)
+	walk = func(v reflect.Value, path string) {
+		switch {
+		case v.Kind() == reflect.Struct:
+			for i := range v.NumField() {
+				walk(v.Field(i), path+"."+v.Type().Field(i).Name)
+			}
+		case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct:
+			for i := range v.Len() {
+				walk(v.Index(i), fmt.Sprintf("%s[%s]", path, cmp.Or(v.Index(i).FieldByName("Name").String(), strconv.Itoa(i))))
+			}
+		case !v.IsZero():
+			out = append(out, Value{Path: strings.TrimPrefix(path, "."), Text: valueText(v)})
+		}
+	}
+	walk(reflect.ValueOf(struct {
+		Name, Listen, Discovery string
+		Limits                  Limits
+		Zones, Layers           []string
+		Settings                balance.Config
+	}{p.Name, p.Listen, p.Discovery, p.Limits, p.Zones, p.Layers, p.Module}), "")
+	return out
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -121,6 +121,7 @@
 	Scope        string        `key:"scope" choices:"all,zone,cell" reload:"restart" unset:"the platform's; needed for keyed without one" doc:"For keyed: which endpoints drop the repeats of a request: all, those in one zone, or those in one cell."`
 	RepeatWindow time.Duration `key:"repeat_window" min:"1ms" max:"24h" reload:"restart" unset:"the platform's; needed for keyed without one" doc:"For keyed: how long they drop them, from when the first attempt was sent."`
 	Worth        float64       `key:"worth" min:"0" max:"1000000" reload:"restart" unset:"the platform's, else 1" doc:"What an answer is worth beside those of other classes."`
+	LateWorth    *float64      `key:"late_worth" min:"0" max:"1" reload:"restart" unset:"the platform's, else 0" doc:"The share of its worth that an answer still has after the wanted time, up to the deadline. With 0 a request is given up on, and answered, once the wanted time is over."`
 	Attempts     int           `key:"attempts" min:"1" max:"100" reload:"live" unset:"as many as any request may have" doc:"The most attempts of a request, those that never ran included."`
 	Retries      *int          `key:"retries" min:"0" max:"99" reload:"live" unset:"attempts less one; 0 for unsafe" doc:"How often it is sent again after an attempt that may have run."`
 	SecondCopies *bool         `key:"second_copies" reload:"live" unset:"as for any request; false for unsafe" doc:"Whether a second copy may be sent while the first is out."`
