Use a load report as it comes where calls are quicker than probes; add the lab

Need: nobody could run the program on a fresh machine, and its speed had never been held against anything.

Change: go run ./cmd/lab starts three tiers of stand-in nodes with a sidecar of its own beside each caller, sends a bounded stream of orders, fails one node, drains another, starts the first anew, and prints what became of the orders and whether the four rules were kept; its files stay. With -compare it measures the program beside httputil.ReverseProxy on the same nodes, each on one core.

Seen: requests were held until their time was up beside 32 idle nodes. Cause: a report is believed for a twentieth of a usual call's time, counted from when it was asked for; with calls of half a millisecond every report was too old as it came, and pickIdle dropped it. A report is now used at the event that brings it, whatever its age.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -95,6 +95,7 @@
 	peers    *latency      // those of its listed weight: their mean pace
 	load     float64       // requests in flight, as last reported
 	loadAt   time.Duration // when that was asked for
+	heardAt  time.Duration // when it came
 	hasLoad  bool
 	out      []time.Duration // when the own calls that are out were sent
 	lastSent time.Duration
@@ -641,11 +642,12 @@
 	return float64(b.outs) < b.window && (b.window >= 1 || (b.now-b.rateAt).Seconds()*b.window >= b.usual(r))
 }
 
-// pickIdle takes an endpoint that a fresh report shows idle.
+// pickIdle takes an endpoint that a fresh report shows idle. One that has just come is fresh, however long
+// the probe took: where calls are quicker than probes, none would ever be.
 func (b *Balancer) pickIdle(r *request) *endpoint {
 	fresh := seconds(freshShare * b.usual(r))
 	b.idlers = slices.DeleteFunc(b.idlers, func(e *endpoint) bool {
-		return !b.idle(e) || b.now-e.loadAt > fresh
+		return !b.idle(e) || b.now-e.loadAt > fresh && b.now > e.heardAt
 	})
 	b.rng.Shuffle(len(b.idlers), func(i, j int) { b.idlers[i], b.idlers[j] = b.idlers[j], b.idlers[i] })
 	best, most := (*endpoint)(nil), 0.0 // ties go to the first
@@ -995,7 +997,7 @@
 // report takes a load report that was asked for at the time asked.
 func (b *Balancer) report(e *endpoint, load *Load, asked time.Duration) {
 	if load != nil && load.InFlight >= 0 {
-		e.load, e.loadAt, e.hasLoad = load.InFlight, asked, true
+		e.load, e.loadAt, e.heardAt, e.hasLoad = load.InFlight, asked, b.now, true
 	}
 }
 
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1228,3 +1228,25 @@
 		t.Errorf("%d held, actions %+v", len(f.b.held), f.acts)
 	}
 }
+
+// Where calls are quicker than probes, a report is older than it is believed for by the time it comes. It
+// is used as it comes all the same: held requests were given up on beside idle endpoints.
+func TestReportIsFreshAsItComes(t *testing.T) {
+	f := newFleet(t, config(), servers(4)...)
+	f.b.classes[0] = latency{mean: 0.0005, dev: 0.0001, n: 1000}
+	f.request(0, time.Second)
+	p := f.find(Probe)
+	if len(p) == 0 {
+		t.Fatalf("no probe: %+v", f.acts)
+	}
+	f.now += 2 * ms // four calls' time
+	if f.probed(p[0].Endpoint, 0); len(f.find(Send)) != 1 {
+		t.Errorf("not sent to an endpoint that was just reported idle: %+v", f.acts)
+	}
+	// Later, the report is old.
+	f.b.idlers = append(f.b.idlers, f.b.endpoints[p[0].Endpoint])
+	f.now += 5 * ms
+	if f.request(0, time.Second); len(f.find(Send)) != 0 {
+		t.Errorf("sent by an old report: %+v", f.acts)
+	}
+}
--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,55 @@
+// Command lab shows barleydrum at work on one machine: the real program before stand-in
+// nodes in three tiers, on loopback. With -compare it measures the program beside the
+// standard library's reverse proxy instead.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/lab"
+)
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == lab.ProxyCommand { // the lab starts itself as the other side of -compare
+		exit(lab.ReverseProxy(os.Args[2:]))
+		return
+	}
+	var cfg lab.Config
+	compare := flag.Bool("compare", false, "measure the program beside httputil.ReverseProxy")
+	flag.StringVar(&cfg.Dir, "dir", "", "`folder` for the files; one is made if it is left out")
+	flag.StringVar(&cfg.Program, "program", "", "the `program` to run; it is built if this is left out")
+	flag.Float64Var(&cfg.Rate, "rate", 20, "orders a second, 1 to 200")
+	flag.DurationVar(&cfg.Length, "length", 12*time.Second, "how long to send, 2s to 10m")
+	flag.Parse()
+	if flag.NArg() > 0 || !(cfg.Rate >= 1 && cfg.Rate <= 200) || cfg.Length < 2*time.Second || cfg.Length > 10*time.Minute {
+		fmt.Fprintf(os.Stderr, "lab: -rate %g: 1 to 200; -length %v: 2s to 10m; no further arguments\n", cfg.Rate, cfg.Length)
+		flag.Usage()
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	cfg.Out = os.Stdout
+	if cfg.Dir == "" {
+		dir, err := os.MkdirTemp("", "barleydrum-lab-")
+		exit(err)
+		cfg.Dir = dir
+	}
+	if *compare {
+		exit(lab.Compare(ctx, cfg))
+		return
+	}
+	exit(lab.Run(ctx, cfg))
+}
+
+// exit ends the program if there is an error.
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lab: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,125 @@
+package lab
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// TestMain lets the test binary stand in for the lab's own program as the reverse proxy.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == ProxyCommand {
+		if err := ReverseProxy(os.Args[2:]); err != nil {
+			os.Stderr.WriteString(err.Error())
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program builds the sidecar once for a test.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "barleydrum")
+	c := exec.Command("go", "build", "-o", path, "../../cmd/barleydrum")
+	if text, err := c.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	return path
+}
+
+// A run ends with all rules kept, through a failure and a drain, and leaves its files.
+func TestRun(t *testing.T) {
+	var out strings.Builder
+	dir := t.TempDir()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	err := Run(ctx, Config{Dir: dir, Program: program(t), Rate: 10, Length: 6 * time.Second, Slack: 2 * time.Second, Out: &out})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, want := range []string{"asked ", "order-front-0 dies", "run-booking-1 drains", "is back, cold", "rule: drains kept "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("lacks %q:\n%s", want, out.String())
+		}
+	}
+	if n, err := checkFiles(dir); n != 15 || err != nil {
+		t.Errorf("%d files, %v", n, err)
+	}
+}
+
+// Both sides of the comparison serve what they are asked.
+func TestCompare(t *testing.T) {
+	var out strings.Builder
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	err := Compare(ctx, Config{Dir: t.TempDir(), Program: program(t), Length: 900 * time.Millisecond, Out: &out})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, name := range []string{"barleydrum, probing", "barleydrum, no reports", "httputil.ReverseProxy"} {
+		_, row, ok := strings.Cut(out.String(), "\n"+name)
+		if row, _, _ = strings.Cut(row, "\n"); !ok || strings.HasPrefix(strings.TrimSpace(row), "0 ") {
+			t.Errorf("%s: %s", name, out.String())
+		}
+	}
+}
+
+// The lab's own judgement sees what it is to see.
+func TestChecks(t *testing.T) {
+	n := func(served, lost int) map[standin.Verdict]int {
+		return map[standin.Verdict]int{standin.Served: served, standin.Lost: lost}
+	}
+	if checkLost(5, n(5, 0), nil) != nil || checkLost(5, n(4, 1), nil) == nil || checkLost(5, n(4, 0), nil) == nil {
+		t.Error("lost requests are not told from answered ones")
+	}
+	node, err := standin.NewNode(standin.NodeConfig{ID: "n", Addr: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Stop()
+	caller := standin.NewCaller(1)
+	defer caller.Close()
+	ask := func() {
+		o := standin.Order{ID: newID(), Class: class, Key: "k", Body: "x", Timeout: 20 * time.Second}
+		if v := caller.Do(context.Background(), node.Entry("").HostPort, o, 0); v != standin.Served {
+			t.Fatalf("the stand-in node: %v", v)
+		}
+	}
+	ask()
+	if err := checkDrain(events{drained: node, drainTold: time.Now()}, 0); err != nil {
+		t.Errorf("what came before the drain: %v", err)
+	}
+	if err := checkDrain(events{drained: node, drainTold: time.Now().Add(-time.Minute)}, 0); err == nil {
+		t.Error("a request a minute after the drain is not seen")
+	}
+	at := time.Now()
+	for range 60 {
+		ask()
+	}
+	if err := checkCold(events{restarted: node, restartedAt: at}); err == nil {
+		t.Error("60 requests at once to a cold node are not seen")
+	}
+	ledger := &standin.Ledger{Window: time.Hour}
+	l := &lab{}
+	for i := range l.ledgers {
+		l.ledgers[i] = ledger
+	}
+	if err := l.checkTwice(); err != nil {
+		t.Error(err)
+	}
+	ledger.Window = 0
+	for range 2 {
+		ledger.Run("id", "key")
+	}
+	if err := l.checkTwice(); err == nil {
+		t.Error("an effect that happened twice is not seen")
+	}
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	mended   chan struct{} // closed as the fault changes
 	inFlight int
 	started  time.Time
+	arrivals []time.Time
 }
 
 // NewNode starts a node.
@@ -99,6 +101,20 @@
 	n.mended = make(chan struct{})
 }
 
+// Arrivals are the times at which requests came to the node, probes aside.
+func (n *Node) Arrivals() []time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.arrivals)
+}
+
+// Started is when the node's process last started; zero is long ago.
+func (n *Node) Started() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started
+}
+
 // Entry is the node as discovery lists it.
 func (n *Node) Entry(lifecycle string) discovery.Instance {
 	n.mu.Lock()
@@ -156,6 +172,7 @@
 // work queues for a slot and runs a request, by the fault at hand when it came.
 func (n *Node) work(r *http.Request, id, key string) (Fault, error) {
 	n.mu.Lock()
+	n.arrivals = append(n.arrivals, time.Now())
 	fault, mended := n.fault, n.mended
 	if fault == TurnAway || n.inFlight >= n.cfg.Slots+n.cfg.Queue {
 		n.mu.Unlock()
@@ -183,7 +200,7 @@
 	}
 	defer func() { <-n.slots }()
 	if n.cfg.Ledger != nil {
-		n.cfg.Ledger.run(id, key)
+		n.cfg.Ledger.Run(id, key)
 	}
 	select {
 	case <-time.After(n.cfg.Work):
@@ -208,7 +225,8 @@
 	repeats  int
 }
 
-func (l *Ledger) run(id, key string) {
+// Run notes that a request runs.
+func (l *Ledger) Run(id, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs == nil {
