Test settings in the running program: limits, probes, bounds, SIGHUP under load

Need: the operators' file must be effective in the program, and a reload must lose nothing.

Change: loopback tests of each limit, of the probe's path and time, of class bounds before and after a reload, of further listeners, and of the program as a process: by the file alone, beside a platform, and with SIGHUP while four callers ask. A good file changes what may change live and the log names what needs a restart; a bad, an unsafe and a missing file change nothing.

--- /dev/null
+++ b/cmd/barleydrum/settings_test.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+const patience = 20 * time.Second
+
+// freeAddress is an address of loopback whose port was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.83.20.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// service is a node and the discovery that lists it.
+func service(t *testing.T) *standin.Discovery {
+	t.Helper()
+	node, err := standin.NewNode(standin.NodeConfig{ID: "s-1", Zone: "a", Addr: "127.0.0.1:0", Slots: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { node.Stop() })
+	d, err := standin.NewDiscovery("127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Close() })
+	d.Change(node.Entry("up"))
+	return d
+}
+
+// lockedBuffer is a log that is written while it is read.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// startProgram starts the program with arguments and waits until it is ready.
+func startProgram(t *testing.T, addr string, env []string, args ...string) (*exec.Cmd, *lockedBuffer) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1"), env...)
+	log := new(lockedBuffer)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	until(t, log, "ready", func() bool {
+		resp, err := http.Get("http://" + addr + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return cmd, log
+}
+
+// until waits for what must happen.
+func until(t *testing.T, log fmt.Stringer, what string, happened func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !happened(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not %s within %v: %s", what, patience, log)
+		}
+	}
+}
+
+// end ends the program by SIGTERM.
+func end(t *testing.T, cmd *exec.Cmd, log fmt.Stringer) {
+	t.Helper()
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v: %s", err, log)
+	}
+}
+
+const class = `
+[class.place-order]
+wanted = "10s"
+deadline = "15s"
+semantics = "keyed"
+scope = "all"
+repeat_window = "20s"
+`
+
+func standaloneText(listen, discovery, more string) string {
+	return fmt.Sprintf("schema = 1\n[application]\nname = \"test\"\ntier = \"t\"\nlisten = %q\ndiscovery = %q\n%s%s", listen, discovery, more, class)
+}
+
+func order(caller *standin.Caller, body string) standin.Order {
+	id := caller.NextID()
+	return standin.Order{ID: id, Class: "place-order", Key: id, Body: body, Timeout: patience}
+}
+
+// The operators' file alone is enough to run with, on all the addresses that it names.
+func TestRunsByTheFileAlone(t *testing.T) {
+	d, first, second := service(t), freeAddress(t), freeAddress(t)
+	path := filepath.Join(t.TempDir(), "s.toml")
+	text := standaloneText(first, d.Addr(), fmt.Sprintf("[callers]\nalso_listen = [%q]\n", second))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, log := startProgram(t, first, []string{"PROXY_CONFIG="}, "-settings", path)
+	caller := standin.NewCaller(1)
+	defer caller.Close()
+	for _, addr := range []string{first, second} {
+		if v := caller.Do(context.Background(), addr, order(caller, "x"), patience); v != standin.Served {
+			_, _, why := caller.Counts()
+			t.Errorf("%s: %v %v: %s", addr, v, why, log)
+		}
+	}
+	end(t, cmd, log)
+}
+
+// SIGHUP with a good, a bad and a missing file under load: no request is lost, what can change
+// does, what can't is named, and a file that is refused changes nothing.
+func TestReloadUnderLoad(t *testing.T) {
+	d, addr := service(t), freeAddress(t)
+	path := filepath.Join(t.TempDir(), "s.toml")
+	replace := func(more string) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(standaloneText(addr, d.Addr(), more)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace("")
+	cmd, log := startProgram(t, addr, []string{"PROXY_CONFIG="}, "-settings", path)
+	hangup := func(says string) {
+		t.Helper()
+		n := strings.Count(log.String(), says)
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		until(t, log, "said: "+says, func() bool { return strings.Count(log.String(), says) > n })
+	}
+
+	caller, stop := standin.NewCaller(4), make(chan struct{})
+	defer caller.Close()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					caller.Do(context.Background(), addr, order(caller, strings.Repeat("x", 2000)), patience)
+				}
+			}
+		}()
+	}
+	served := func() int {
+		c, _, _ := caller.Counts()
+		return c[standin.Served]
+	}
+	const kept = "keeping the configuration at hand"
+	for round := range 3 {
+		was := served()
+		replace(fmt.Sprintf("[callers]\nmax_body = \"%dKiB\"\nidle_time = \"%ds\"\n", 4+round, 7+round))
+		hangup("reload: settings")
+		replace("[callers]\nmax_body = \"1 KB or so\"\n")
+		hangup(kept)
+		replace("[class.pay]\nwanted = \"1s\"\ndeadline = \"2s\"\nsemantics = \"unsafe\"\nretries = 1\n")
+		hangup(kept)
+		if err := os.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+		hangup(kept)
+		until(t, log, "served more", func() bool { return served() > was+10 })
+	}
+	close(stop)
+	callers.Wait()
+	if c, _, why := caller.Counts(); c[standin.Lost]+c[standin.Failed]+c[standin.Refused] > 0 {
+		t.Errorf("%v %v", c, why)
+	}
+	for _, want := range []string{"callers.max_body", "take effect at a restart", "callers.idle_time", "unsafe-retried", "out-of-range", "no such file"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log lacks %q: %s", want, log)
+		}
+	}
+	// What was taken last is in effect.
+	replace("[callers]\nmax_body = \"1KiB\"\n")
+	hangup("reload: settings")
+	if v := caller.Do(context.Background(), addr, order(caller, strings.Repeat("x", 2000)), patience); v != standin.Failed {
+		t.Errorf("a long body: %v, want it turned away", v)
+	}
+	end(t, cmd, log)
+}
+
+// With both, the platform's configuration says what the sidecar is and the file narrows it; a
+// file that promises more than the platform is refused at the start, by the rule.
+func TestBesideThePlatform(t *testing.T) {
+	d, addr := service(t), freeAddress(t)
+	dir := t.TempDir()
+	platform := strings.NewReplacer("127.83.19.7:1", addr, "127.83.19.8:1", d.Addr()).Replace(platform)
+	config, path := filepath.Join(dir, "c.json"), filepath.Join(dir, "s.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte("schema = 1\n[application]\nname = \"test\"\n"+text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(config, []byte(platform), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for text, rule := range map[string]string{
+		"[class.read]\ndeadline = \"3s\"\n": "looser-time", "[class.raed]\nattempts = 2\n": "class-unknown",
+		"[limits]\nsockets = 4096\n": "looser-limit", "[callers]\nalso_listen = [\"127.83.20.1:1\"]\n": "listen-extra",
+		"[shutdown]\nlinger = \"1s\"\n": "shutdown-past-kill",
+	} {
+		write(text)
+		cmd := exec.Command(os.Args[0], "-settings", path)
+		cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1", "PROXY_CONFIG="+config)
+		if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "["+rule+"]") {
+			t.Errorf("%s: %v: %s", rule, err, out)
+		}
+	}
+	write("[class.read]\nretries = 1\n")
+	cmd, log := startProgram(t, addr, []string{"PROXY_CONFIG=" + config}, "-settings", path)
+	end(t, cmd, log)
+}
+
+func TestArguments(t *testing.T) {
+	for _, args := range [][]string{{"-setings", "x"}, {"x"}, {"-settings"}} {
+		cmd := exec.Command(os.Args[0], args...)
+		cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1")
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), "-settings FILE") {
+			t.Errorf("%v: exit %d: %s", args, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/live_test.go
@@ -0,0 +1,202 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// settings reads an operators' file; the part that all need is added.
+func settings(t *testing.T, text string) *config.Settings {
+	t.Helper()
+	s, bad := config.ParseSettings("test", []byte("schema = 1\n[application]\nname = \"test\"\n"+text))
+	if len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	return s
+}
+
+// withSettings is a configuration for tests narrowed by a file.
+func withSettings(t *testing.T, known discovery.List, text string) *config.Config {
+	t.Helper()
+	return config.Merge(testConfig(t, known).Platform, settings(t, text))
+}
+
+// Each limit of the file holds, and what may change at SIGHUP changes with Apply.
+func TestBodyLimitsAreTheFiles(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, strings.Repeat("x", 2000))
+	})
+	p := start(t, withSettings(t, up(addr, addr, addr), "[callers]\nmax_body = \"1KiB\"\n[endpoints]\nmax_answer = \"1KiB\"\n"))
+	if resp, _ := p.send(p.request("book", strings.Repeat("x", 1025))); resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("a long body: %s", resp.Status)
+	}
+	if resp, _ := p.send(p.request("pay", "x")); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("a long answer: %s", resp.Status)
+	}
+	p.engine.Apply(settings(t, "[callers]\nmax_body = \"2KiB\"\n[endpoints]\nmax_answer = \"2KiB\"\n"))
+	if resp, body := p.send(p.request("book", strings.Repeat("x", 1025))); resp.StatusCode != 200 || len(body) != 2000 {
+		t.Errorf("after the change: %s, %d bytes", resp.Status, len(body))
+	}
+}
+
+// The probe goes to the path and is waited for as long as the file says.
+func TestProbeIsTheFiles(t *testing.T) {
+	paths := make(chan string, 1)
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		paths <- r.URL.Path
+		if r.URL.Path == "/late" {
+			<-r.Context().Done()
+		}
+		io.WriteString(w, "TEXT inflight=3, queue=0, util=0.5")
+	})
+	c := withSettings(t, discovery.List{}, "[probe]\npath = \"/how-busy\"\ntime = \"10s\"\n")
+	p := newPool(c)
+	to := &route{addr: addr}
+	defer p.release(to, false)
+	if a := p.probe(to, c.ProbePath(p.settings.Load())); <-paths != "/how-busy" || a.result != balance.OK || a.load.InFlight != 3 {
+		t.Errorf("%+v", a)
+	}
+	p.settings.Store(settings(t, "[probe]\npath = \"/late\"\ntime = \"5ms\"\n"))
+	if a := p.probe(to, c.ProbePath(p.settings.Load())); <-paths != "/late" || a.result != balance.Timeout {
+		t.Errorf("%+v", a)
+	}
+	if got := c.ProbePath(config.Default()); got != "/load" {
+		t.Errorf("by default %s", got)
+	}
+	c.Module.Reporting = balance.ReportsNone
+	if got := c.ProbePath(config.Default()); got != "/healthz" {
+		t.Errorf("without reports %s", got)
+	}
+}
+
+// A class's bounds hold for real requests, and change with Apply.
+func TestClassBoundsAreTheFiles(t *testing.T) {
+	var ran atomic.Int32
+	fail := func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	addr := standin.HTTP(t, fail)
+	many := up(addr, addr, addr, addr, addr, addr, addr, addr) // those that failed are passed over for a while
+	p := start(t, withSettings(t, many, "[class.book]\nretries = 0\n"))
+	ask := func(want int32) {
+		t.Helper()
+		ran.Store(0)
+		if resp, _ := p.send(p.request("book", "x")); resp.StatusCode/100 != 5 || ran.Load() != want {
+			t.Errorf("%s after %d attempts, want %d", resp.Status, ran.Load(), want)
+		}
+	}
+	ask(1)
+	p.engine.Apply(settings(t, "[class.book]\nattempts = 2\n"))
+	ask(2)
+	p.engine.Apply(settings(t, ""))
+	ask(3) // the platform's own bound
+	p.engine.Apply(settings(t, "[class.book]\nretry_within = \"1ms\"\n"))
+	time.Sleep(2 * time.Millisecond)
+	slow := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	l := up(slow, slow)
+	p.engine.list(&l)
+	ask(1)
+}
+
+// A wanted time that the file shortens ends a request that no endpoint answers.
+func TestWantedIsTheFiles(t *testing.T) {
+	addr := standin.TCP(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	p := start(t, withSettings(t, up(addr), "[class.pay]\nwanted = \"50ms\"\ndeadline = \"100ms\"\n"))
+	resp, _ := p.send(p.request("pay", "x")) // the caller would wait for 20 s
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%s, want a failure", resp.Status)
+	}
+}
+
+// All listeners of a sidecar share its places for callers.
+func TestListenersSharePlaces(t *testing.T) {
+	c := testConfig(t, up(standin.HTTP(t, func(http.ResponseWriter, *http.Request) {})))
+	c.Settings.Callers.Connections = 4
+	p := start(t, c)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go p.server.Serve(l)
+	first, second := strings.TrimPrefix(p.url, "http://"), l.Addr().String()
+	for _, addr := range []string{first, second} {
+		req, err := standin.NewRequest(context.Background(), addr, standin.Order{ID: addr, Class: "read", Tenant: "acme", Timeout: patience})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp, _ := p.send(req); resp.StatusCode != 200 {
+			t.Errorf("%s: %s", addr, resp.Status)
+		}
+	}
+	if got := cap(p.server.places); got != 4 {
+		t.Errorf("%d places", got)
+	}
+}
+
+// Settings may change while requests are under way: each gets its one answer.
+func TestApplyUnderLoad(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	p := start(t, testConfig(t, up(addr, addr)))
+	stop := make(chan struct{})
+	var changes sync.WaitGroup
+	changes.Add(1)
+	texts := []*config.Settings{settings(t, "[class.book]\nattempts = 1\nsecond_copies = false\n"), settings(t, "[probe]\ntime = \"1s\"\n"), config.Default()}
+	go func() {
+		defer changes.Done()
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+				p.engine.Apply(texts[i%len(texts)])
+			}
+		}
+	}()
+	caller := standin.NewCaller(8)
+	defer caller.Close()
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for range 30 {
+				o := standin.Order{ID: caller.NextID(), Class: "book", Tenant: "acme", Key: "k", Body: "x", Timeout: patience}
+				req, err := standin.NewRequest(context.Background(), strings.TrimPrefix(p.url, "http://"), o)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp, err := http.DefaultTransport.RoundTrip(req)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp.Body.Close()
+				if resp.StatusCode != 200 {
+					t.Error(resp.Status)
+				}
+			}
+		}()
+	}
+	callers.Wait()
+	close(stop)
+	changes.Wait()
+}
