--- a/cmd/barleydrum/main_test.go
+++ b/cmd/barleydrum/main_test.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bytes"
-	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"barleydrum.example/barleydrum/internal/standin"
 )
 
 // TestMain lets the test binary stand in for the program.
@@ -32,7 +31,7 @@
  "classes": [{"name": "read", "goalTimeNs": 100000000, "hardLimitNs": 200000000, "importance": 1, "semantics": "safe"}]}}`
 
 // program prepares the program with a configuration.
-func program(t *testing.T, text string) (*exec.Cmd, *bytes.Buffer) {
+func program(t *testing.T, text string) (*exec.Cmd, *lockedBuffer) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -40,7 +39,7 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1", "PROXY_CONFIG="+path)
-	log := new(bytes.Buffer)
+	log := new(lockedBuffer)
 	cmd.Stderr = log
 	return cmd, log
 }
@@ -77,36 +76,10 @@
 	}
 }
 
-// asked serves discovery with an empty fleet of news and tells of each call.
-func asked(t *testing.T) (address string, calls <-chan struct{}) {
-	t.Helper()
-	c := make(chan struct{}, 1000)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprint(w, `{"generation": 1, "reset": false, "instances": []}`)
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}))
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String(), c
-}
-
 // SIGHUP, which ended the program, has it follow the discovery that its file names then,
 // whatever PROXY_DISCOVERY says; a bad file changes nothing; SIGTERM ends it as ever.
 func TestReload(t *testing.T) {
-	const patience = 20 * time.Second
-	first, firstCalls := asked(t)
-	second, secondCalls := asked(t)
-	third, thirdCalls := asked(t)
-	wait := func(c <-chan struct{}, what string) {
-		t.Helper()
-		select {
-		case <-c:
-		case <-time.After(patience):
-			t.Errorf("%s was not asked", what)
-		}
-	}
+	first, second, third := service(t), service(t), service(t)
 	text := strings.Replace(platform, "127.83.19.7:1", "127.83.19.10:41763", 1)
 	cmd, log := program(t, text)
 	var path string
@@ -127,16 +100,20 @@
 			t.Error(err)
 		}
 	}
-	cmd.Env = append(cmd.Env, "PROXY_DISCOVERY="+first)
+	cmd.Env = append(cmd.Env, "PROXY_DISCOVERY="+first.Addr())
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	wait(firstCalls, "the first")
+	asked := func(d *standin.Discovery, which string) {
+		t.Helper()
+		until(t, log, "asked "+which, func() bool { return d.Calls() > 0 })
+	}
+	asked(first, "the first")
 	replace("{")
-	replace(strings.Replace(text, "127.83.19.8:1", second, 1))
-	wait(secondCalls, "the second")
-	replace(strings.Replace(text, "127.83.19.8:1", third, 1))
-	wait(thirdCalls, "the third")
+	replace(strings.Replace(text, "127.83.19.8:1", second.Addr(), 1))
+	asked(second, "the second")
+	replace(strings.Replace(text, "127.83.19.8:1", third.Addr(), 1))
+	asked(third, "the third")
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Error(err)
 	}
--- a/cmd/barleydrum/settings_test.go
+++ b/cmd/barleydrum/settings_test.go
@@ -15,6 +15,9 @@
 	"testing"
 	"time"
 
+	"barleydrum.example/barleydrum/internal/check"
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/sidecar"
 	"barleydrum.example/barleydrum/internal/standin"
 )
 
@@ -231,14 +234,14 @@
 	d, addr := service(t), freeAddress(t)
 	dir := t.TempDir()
 	platform := strings.NewReplacer("127.83.19.7:1", addr, "127.83.19.8:1", d.Addr()).Replace(platform)
-	config, path := filepath.Join(dir, "c.json"), filepath.Join(dir, "s.toml")
+	file, path := filepath.Join(dir, "c.json"), filepath.Join(dir, "s.toml")
 	write := func(text string) {
 		t.Helper()
 		if err := os.WriteFile(path, []byte("schema = 1\n[application]\nname = \"test\"\n"+text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := os.WriteFile(config, []byte(platform), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(platform), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	for text, rule := range map[string]string{
@@ -248,13 +251,13 @@
 	} {
 		write(text)
 		cmd := exec.Command(os.Args[0], "-settings", path)
-		cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1", "PROXY_CONFIG="+config)
+		cmd.Env = append(os.Environ(), "BARLEYDRUM_TEST_MAIN=1", "PROXY_CONFIG="+file)
 		if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "["+rule+"]") {
 			t.Errorf("%s: %v: %s", rule, err, out)
 		}
 	}
 	write("[class.read]\nretries = 1\n")
-	cmd, log := startProgram(t, addr, []string{"PROXY_CONFIG=" + config}, "-settings", path)
+	cmd, log := startProgram(t, addr, []string{"PROXY_CONFIG=" + file}, "-settings", path)
 	end(t, cmd, log)
 }
 
@@ -268,3 +271,33 @@
 		}
 	}
 }
+
+// Whatever the checker accepts, the program starts with: its parts are made without an error.
+func FuzzStarts(f *testing.F) {
+	for _, more := range []string{"", "[callers]\nconnections = 3\nmax_body = \"0\"\n", "[fleet]\nreports = \"none\"\nlist = \"ask\"\n", "[endpoints]\nconnections = 1\n[limits]\nsockets = 64\n"} {
+		f.Add(standaloneText("127.0.0.1:1", "127.0.0.1:2", more))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, bad := config.ParseSettings("f", []byte(text))
+		if len(bad) > 0 {
+			return
+		}
+		cfg, findings := check.Sidecar(nil, "", s, "f")
+		if cfg == nil {
+			if !config.Failed(findings) {
+				t.Error("refused without a word")
+			}
+			return
+		}
+		if cfg.Limits.Sockets > 1<<16 {
+			return // places for them are made at the start: enough memory is the installation's matter
+		}
+		e, err := sidecar.NewEngine(cfg)
+		if err != nil {
+			t.Fatalf("accepted, and the program says %v", err)
+		}
+		sidecar.NewServer(cfg, e)
+		sidecar.NewDiscovery(cfg, e)
+		e.Apply(s)
+	})
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -37,7 +37,7 @@
 	return l
 }
 
-func testConfig(t *testing.T, known discovery.List) *config.Config {
+func testConfig(t testing.TB, known discovery.List) *config.Config {
 	t.Helper()
 	text, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -66,7 +66,8 @@
 
 func (v Verdict) String() string { return [...]string{"served", "refused", "failed", "lost"}[v] }
 
-// Caller sends orders and counts what became of them. It never tries again by itself.
+// Caller sends orders and counts what became of them. It tries none again; its library sends one
+// once more if the connection it was written to turns out to be closed, as PROTOCOL has it.
 type Caller struct {
 	client http.Client
 
