Look at held requests again as a suspicion ends; let no setting of zero be lost

Need, first: a test of class bounds took 13 s of a wanted time of 20 s beside one endpoint that had failed once. Cause: where load is not probed, a request that finds all endpoints suspect is held, and nothing but another event or its last chance has the module look again. Cut: a timer at the first end of a suspicion; on sites that probe nothing changes.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -610,6 +610,25 @@
 	}
 	if want > 0 && b.probing && len(b.ready) > 0 {
 		b.probe(want)
+	} else if want > 0 && !b.probing {
+		b.awaitSuspects()
+	}
+}
+
+// awaitSuspects looks again as the next suspicion of an endpoint ends: where no probes come back, nothing
+// else might happen until a held request is late.
+func (b *Balancer) awaitSuspects() {
+	next := time.Duration(math.MaxInt64)
+	for _, set := range [2][]*endpoint{b.near, b.far} {
+		for _, e := range set {
+			if e.suspect > b.now {
+				next = min(next, e.suspect)
+			}
+		}
+	}
+	if next < math.MaxInt64 && (b.serveAt <= b.now || next < b.serveAt) {
+		b.serveAt = next
+		b.timer(timerServe, 0, next-b.now)
 	}
 }
 
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1250,3 +1250,30 @@
 		t.Errorf("sent by an old report: %+v", f.acts)
 	}
 }
+
+// Where no probes come back, a request that finds all endpoints suspect is sent as a suspicion ends: it had
+// waited until it was nearly late.
+func TestSuspicionEndIsAwaited(t *testing.T) {
+	cfg := config()
+	cfg.Reporting = ReportsInAnswer
+	f := newFleet(t, cfg, servers(1)...)
+	first := f.request(0, time.Second)
+	f.ended(first, 0, f.sent(), Reset, ms)
+	if len(f.find(Send)) > 0 {
+		t.Fatalf("sent to a suspect: %+v", f.acts)
+	}
+	end := f.b.endpoints[1].suspect
+	at := time.Duration(0)
+	for _, a := range f.find(SetTimer) {
+		if a.Timer.Kind == timerServe {
+			at = f.now + a.Delay
+		}
+	}
+	if at != end {
+		t.Fatalf("looks again at %v, want %v: %+v", at, end, f.acts)
+	}
+	f.now = at
+	if f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil); len(f.find(Send)) == 0 {
+		t.Errorf("not sent as the suspicion ended: %+v", f.acts)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -105,12 +105,12 @@
 	Reports       string        `key:"reports" choices:"probe,answers,none" reload:"restart" unset:"the platform's, else probe" doc:"How load reports come: in answers to probes, in every answer, or not at all."`
 	DrainGrace    time.Duration `key:"drain_grace" min:"1ms" max:"1m" reload:"restart" unset:"the platform's, else 500ms" doc:"Nothing new goes to an endpoint later than this after the sidecar heard that it drains or is gone."`
 	ColdShare     float64       `key:"cold_share" min:"0.01" max:"1" reload:"restart" unset:"the platform's, else 0.14" doc:"The share of its capacity that an endpoint surely has as it starts."`
-	ColdTime      time.Duration `key:"cold_time" min:"0s" max:"1h" reload:"restart" unset:"the platform's, else 22s" doc:"How long after its start an endpoint is at full capacity at the latest."`
+	ColdTime      time.Duration `key:"cold_time" min:"1ms" max:"1h" reload:"restart" unset:"the platform's, else 22s" doc:"How long after its start an endpoint is at full capacity at the latest."`
 	FallMultiple  float64       `key:"fall_multiple" min:"1" max:"1000" reload:"restart" unset:"the platform's, else 3" doc:"A cold endpoint that is sent more than this multiple of what it can do falls over..."`
 	FallTime      time.Duration `key:"fall_time" min:"1ms" max:"1m" reload:"restart" unset:"the platform's, else 2s" doc:"...if that goes on for this long."`
 	Attempts      int           `key:"attempts" min:"1" max:"100" reload:"restart" unset:"the platform's, else 6" doc:"The most attempts of any request, whatever its class."`
 	SecondCopies  *bool         `key:"second_copies" reload:"restart" unset:"the platform's, else true" doc:"Whether a request may have two attempts out together."`
-	MaxRetryAfter time.Duration `key:"max_retry_after" min:"0s" max:"1h" reload:"restart" unset:"the platform's, else 2s" doc:"The longest time to stay away that callers heed."`
+	MaxRetryAfter time.Duration `key:"max_retry_after" min:"1ms" max:"1h" reload:"restart" unset:"the platform's, else 2s" doc:"The longest time to stay away that callers heed."`
 }
 
 // Class is a part [class.NAME].
@@ -120,7 +120,7 @@
 	Semantics    string        `key:"semantics" choices:"safe,keyed,unsafe" reload:"restart" unset:"the platform's; needed without one" doc:"Whether a request may run more than once: safe may, keyed is dropped as a repeat by its key, unsafe must not."`
 	Scope        string        `key:"scope" choices:"all,zone,cell" reload:"restart" unset:"the platform's; needed for keyed without one" doc:"For keyed: which endpoints drop the repeats of a request: all, those in one zone, or those in one cell."`
 	RepeatWindow time.Duration `key:"repeat_window" min:"1ms" max:"24h" reload:"restart" unset:"the platform's; needed for keyed without one" doc:"For keyed: how long they drop them, from when the first attempt was sent."`
-	Worth        float64       `key:"worth" min:"0" max:"1000000" reload:"restart" unset:"the platform's, else 1" doc:"What an answer is worth beside those of other classes."`
+	Worth        float64       `key:"worth" min:"0.001" max:"1000000" reload:"restart" unset:"the platform's, else 1" doc:"What an answer is worth beside those of other classes."`
 	LateWorth    *float64      `key:"late_worth" min:"0" max:"1" reload:"restart" unset:"the platform's, else 0" doc:"The share of its worth that an answer still has after the wanted time, up to the deadline. With 0 a request is given up on, and answered, once the wanted time is over."`
 	Attempts     int           `key:"attempts" min:"1" max:"100" reload:"live" unset:"as many as any request may have" doc:"The most attempts of a request, those that never ran included."`
 	Retries      *int          `key:"retries" min:"0" max:"99" reload:"live" unset:"attempts less one; 0 for unsafe" doc:"How often it is sent again after an attempt that may have run."`
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -27,8 +27,7 @@
 	cfg      *config.Config
 	engine   *Engine
 	http     http.Server
-	most     int           // connections
-	places   chan struct{} // one for each of them
+	places   chan struct{} // one for each connection that callers may have open
 	settings *live
 	draining atomic.Bool
 
@@ -56,9 +55,8 @@
 
 // NewServer returns a Server that hands its requests to an engine.
 func NewServer(c *config.Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, most: c.CallerConnections(), settings: e.settings,
+	s := &Server{cfg: c, engine: e, places: make(chan struct{}, c.CallerConnections()), settings: e.settings,
 		callers: make(map[net.Conn]*caller), ids: make(map[string]bool)}
-	s.places = make(chan struct{}, s.most)
 	s.http = http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch err := checkFraming(r); {
@@ -126,7 +124,7 @@
 // makeRoom closes connections until a place is free. If none may be closed yet, it looks
 // again later.
 func (s *Server) makeRoom(newest net.Conn) {
-	for len(s.callers) >= s.most {
+	for len(s.callers) >= cap(s.places) {
 		if s.evict(newest) {
 			continue
 		}
