Check one sidecar for circles and counts too, as a deployment is

Need: nothing may pass one check and fail in the other; a file whose tier calls itself was refused by drumctl and run by the program. Change: both go through the same three checks across sidecars. Measured: a test holds Sidecar against Deployment on every broken set that is one sidecar's; the same rules, text for text.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -74,7 +74,7 @@
 	c := newChecker(p, platformFile, s, settingsFile)
 	c.alone = p == nil
 	c.run()
-	c.all.claims([]*checker{c})
+	c.all.across([]*checker{c})
 	if config.Failed(c.all.findings) {
 		return nil, c.all.findings
 	}
@@ -92,12 +92,17 @@
 		c.run()
 		all.add(c.all.findings...)
 	}
-	all.claims(checked)
-	all.circles(checked)
-	all.counts(checked)
+	all.across(checked)
 	return all.findings
 }
 
+// across checks what only shows with all sidecars side by side.
+func (r *report) across(checked []*checker) {
+	r.claims(checked)
+	r.circles(checked)
+	r.counts(checked)
+}
+
 // pairs reads files and puts those together that a sidecar would run with.
 func pairs(files []File) (checked []*checker, findings []config.Finding) {
 	var all report
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -421,6 +421,38 @@
 	}
 }
 
+// What Deployment refuses of one file, or of one beside its platform, Sidecar refuses, and by the same rules:
+// the program runs the one, drumctl the other.
+func TestSidecarRefusesTheSame(t *testing.T) {
+	for _, m := range mutations(rand.New(rand.NewPCG(1, 7))) {
+		broken, _ := m.files(t)
+		var p *config.Platform
+		var s *config.Settings
+		var names [2]string
+		ok := len(broken) <= 2
+		for _, f := range broken {
+			var bad []config.Finding
+			if IsPlatform(f.Text) {
+				p, bad = Platform(f)
+				names[0] = f.Name
+			} else {
+				ok = ok && s == nil
+				s, bad = Settings(f)
+				names[1] = f.Name
+			}
+			ok = ok && len(bad) == 0
+		}
+		if !ok {
+			continue // not one sidecar's, or refused as it is read
+		}
+		want := refused(Deployment(broken))
+		c, got := Sidecar(p, names[0], s, names[1])
+		if got = refused(got); c != nil || text(got) != text(want) {
+			t.Errorf("%s:\nSidecar    %s\nDeployment %s", m.name, text(got), text(want))
+		}
+	}
+}
+
 // Whatever the checker accepts, the module starts with, and nothing makes it panic.
 func FuzzCheck(f *testing.F) {
 	f.Add([]byte(platform), []byte(beside))
