Hold our reading of TOML against another reader's; keep a finding on one line

Need: the decoder walks a parser's tree by itself, and only its own hand had checked it. Change: what it accepts is read by BurntSushi/toml as well, in tests and in the fuzzer, and the keys must agree.

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/pelletier/go-toml/v2"
@@ -333,11 +334,14 @@
 	case unstable.InlineTable:
 		return "a table"
 	}
-	raw := d.parser.Raw(n.Raw)
+	raw := string(d.parser.Raw(n.Raw))
 	if len(raw) > 60 {
-		return strconv.Quote(string(raw[:60])) + "..."
+		return strconv.Quote(raw[:60]) + "..."
 	}
-	return string(raw)
+	if strings.ContainsFunc(raw, unicode.IsControl) { // a finding is one line
+		return strconv.Quote(raw)
+	}
+	return raw
 }
 
 // value reads a value into its field.
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -403,6 +403,7 @@
 		if len(bad) > 0 {
 			return
 		}
+		agree(t, "f", text, s)
 		again, bad := ParseSettings("again", Write(s))
 		if len(bad) > 0 || len(Diff(s.Values(), again.Values())) > 0 {
 			t.Errorf("written and read again: %v %v\n%s", bad, Diff(s.Values(), again.Values()), Write(s))
