Give the lab's notice of a death an owner: a short run took the node out for good

Need: the timer that tells discovery of the node that died had no owner; in a run under 4.4 s it fired after the node had come back and listed it as removed. Change: the run owns the timer and stops it at the restart and at the end.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -52,6 +52,7 @@
 	ledgers   [3]*standin.Ledger
 	nodes     [3][]*standin.Node
 	fronts    []*process
+	notice    *time.Timer // tells discovery of the node that died; nil before
 
 	mu       sync.Mutex
 	behind   map[*standin.Node]*process // the sidecar that a node calls through
@@ -280,7 +281,7 @@
 	l.say("  node %s dies; discovery learns of it %v later", e.failedNode, noticed)
 	node.Stop()
 	l.behind[node].kill()
-	time.AfterFunc(noticed, func() { l.discovery[0].Change(node.Entry("removed")) })
+	l.notice = time.AfterFunc(noticed, func() { l.discovery[0].Change(node.Entry("removed")) })
 }
 
 // drain has a node of the last tier leave.
@@ -294,6 +295,7 @@
 
 // restart has the node that failed start anew, cold.
 func (l *lab) restart(ctx context.Context, e *events) {
+	l.notice.Stop() // in a short run the node is back before its death was noticed
 	node := l.nodes[0][0]
 	if err := node.Start(); err != nil {
 		l.say("  node %s does not start: %v", e.failedNode, err)
@@ -316,6 +318,9 @@
 }
 
 func (l *lab) close() {
+	if l.notice != nil {
+		l.notice.Stop()
+	}
 	for _, p := range l.sidecars {
 		select {
 		case <-p.done:
