--- a/cmd/drumctl/config.go
+++ b/cmd/drumctl/config.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -227,6 +228,56 @@
 	return nil
 }
 
+// What suited chooses by: the fleet's own defaults, and the least time for a connection that
+// a busy network needs, where the classes' times leave room for two attempts of it.
+const (
+	usualConnect  = 250 * time.Millisecond
+	usualProbe    = 250 * time.Millisecond
+	leastConnect  = 25 * time.Millisecond
+	usualAttempts = 6
+)
+
+// suited chooses what the descriptions of classes leave out and a general default would not
+// fit: how long a connection and a probe may take, by the class in the greatest hurry, and for
+// each class how many attempts then fit, and until when one may begin that still finds its key.
+// It returns the general part, and the parts of the classes with what they lacked.
+func suited(s *config.Settings, classes, parts []string) (general string, out []string) {
+	connect, probe := usualConnect, usualProbe
+	left := func(k *config.Class) time.Duration { return k.Wanted - 2*min(s.Callers.AnswerMargin, k.Wanted/10) }
+	for _, k := range s.Class {
+		if k.Wanted == 0 {
+			continue // for check to refuse, or the platform's
+		}
+		fits := max(left(k)/usualAttempts, min(leastConnect, left(k)/2))
+		if k.Attempts > 0 {
+			fits = left(k) / time.Duration(k.Attempts)
+		}
+		connect, probe = min(connect, fits), min(probe, k.Wanted/2)
+	}
+	connect = max(connect.Truncate(time.Millisecond), time.Millisecond)
+	probe = max(probe.Truncate(time.Millisecond), connect)
+	if connect < usualConnect {
+		general += fmt.Sprintf("[endpoints]\nconnect_time = %q\n", connect)
+	}
+	if probe < usualProbe {
+		general += fmt.Sprintf("[probe]\ntime = %q\n", probe)
+	}
+	for i, part := range parts {
+		name, _, _ := strings.Cut(classes[i], ",")
+		k := s.Class[name]
+		if k != nil && k.Wanted > 0 {
+			if n := max(left(k)/connect, 1); k.Attempts == 0 && n < usualAttempts {
+				part += fmt.Sprintf("attempts = %d\n", n)
+			}
+			if last := k.RepeatWindow * 9 / 10; k.RetryWithin == 0 && last > 0 && last < k.Wanted {
+				part += fmt.Sprintf("retry_within = %q\n", last.Truncate(time.Millisecond))
+			}
+		}
+		out = append(out, part)
+	}
+	return general, out
+}
+
 // described turns the text of a class's description, such as
 // "place-order,wanted=1540ms,semantics=keyed", into lines of TOML.
 func described(text string) (string, error) {
--- a/cmd/drumctl/main.go
+++ b/cmd/drumctl/main.go
@@ -54,7 +54,7 @@
 	return c
 }
 
-// output is the flag --output.
+// output is the flag --format.
 type output string
 
 func (o *output) String() string { return string(*o) }
@@ -68,10 +68,10 @@
 	return nil
 }
 
-// flag adds --output to a command.
+// flag adds --format to a command.
 func (o *output) flag(c *cobra.Command) {
 	*o = "text"
-	c.Flags().Var(o, "output", "form of the output: text for people, json for machines")
+	c.Flags().Var(o, "format", "form of the output: text for people, json for machines")
 }
 
 func writeJSON(w io.Writer, v any) error {
--- a/cmd/drumctl/main_test.go
+++ b/cmd/drumctl/main_test.go
@@ -64,7 +64,7 @@
 			t.Errorf("explain lacks %q:\n%s", want, out)
 		}
 	}
-	_, out, _ = drumctl("config", "explain", "--output", "json", filepath.Join(dir, "order-check.toml"))
+	_, out, _ = drumctl("config", "explain", "--format", "json", filepath.Join(dir, "order-check.toml"))
 	var all2 []check.Explanation
 	if err := json.Unmarshal([]byte(out), &all2); err != nil || len(all2) != 1 || len(all2[0].Classes) != 1 {
 		t.Fatalf("%v: %s", err, out)
@@ -112,14 +112,14 @@
 		{0, []string{"config", "explain", good}}, {1, []string{"config", "explain", bad}},
 		{0, []string{"config", "diff", good, good}}, {1, []string{"config", "diff", good, bad}},
 		{2, []string{"config", "check"}}, {2, []string{"config", "chek", good}}, {2, []string{"config", "check", "--outptu", "json", good}},
-		{2, []string{"config", "check", "--output", "yaml", good}}, {2, []string{"config", "diff", good}}, {2, []string{"nonsense"}},
+		{2, []string{"config", "check", "--format", "yaml", good}}, {2, []string{"config", "diff", good}}, {2, []string{"nonsense"}},
 		{2, []string{"config", "write", "x", "--class", "=1"}}, {2, []string{"config", "write", "x", "--class", "a,b"}},
 	} {
 		if code, out, errs := drumctl(c.args...); code != c.want || code == 2 && errs == "" {
 			t.Errorf("%v: %d, want %d\n%s%s", c.args, code, c.want, out, errs)
 		}
 	}
-	code, out, _ := drumctl("config", "check", "--output", "json", bad, none)
+	code, out, _ := drumctl("config", "check", "--format", "json", bad, none)
 	var v verdict
 	if err := json.Unmarshal([]byte(out), &v); err != nil || code != 1 || v.Files != 2 || v.Refused != 2 || v.Findings[0].Key != "application.nam" || v.Findings[0].Line != 3 {
 		t.Errorf("%d %v %s", code, err, out)
--- a/cmd/drumctl/write.go
+++ b/cmd/drumctl/write.go
@@ -22,7 +22,9 @@
 
 A class is described as NAME,KEY=VALUE,... with the keys of [class.NAME]. With --listen and
 --discovery the file says all that a sidecar needs; without them it is for use beside a
-platform's configuration. What check would refuse is not written.`,
+platform's configuration. Where they are left out, connect_time, probe.time, and a class's
+attempts and retry_within are chosen so that they fit in the classes' times. What check would
+refuse is not written.`,
 		Example: `  drumctl config write order-front --calls order-check \
       --listen 127.0.0.1:9000 --discovery 127.0.0.1:8500 \
       --class place-order,wanted=1540ms,deadline=3850ms,semantics=keyed,scope=all,repeat-window=10s`,
@@ -58,14 +60,24 @@
 					fmt.Fprintf(&b, "number = %d\n", number)
 				}
 			}
-			for _, class := range classes {
-				part, err := described(class)
-				if err != nil {
+			parts := make([]string, len(classes))
+			for i, class := range classes {
+				var err error
+				if parts[i], err = described(class); err != nil {
 					return err
 				}
-				b.WriteString(part)
 			}
-			s, findings := config.ParseSettings("", []byte(b.String()))
+			// What was left out is chosen by the times that the classes were given.
+			s, findings := config.ParseSettings("", []byte(b.String()+strings.Join(parts, "")))
+			if len(findings) == 0 {
+				var chosen string
+				chosen, parts = suited(s, classes, parts)
+				b.WriteString(chosen)
+			}
+			b.WriteString(strings.Join(parts, ""))
+			if len(findings) == 0 {
+				s, findings = config.ParseSettings("", []byte(b.String()))
+			}
 			if len(findings) == 0 {
 				findings = check.Deployment([]check.File{{Text: []byte(b.String())}})
 			}
--- a/internal/check/sidecar.go
+++ b/internal/check/sidecar.go
@@ -41,6 +41,7 @@
 	for _, k := range c.merged.Module.Classes {
 		c.class(k)
 	}
+	c.names()
 	c.drains()
 	c.cold()
 	c.shutdown()
@@ -179,6 +180,52 @@
 	}
 }
 
+// names reports what a platform's configuration names that isn't there, and names that stand
+// for two things. The program would take the first zone for one that there isn't, and the
+// last of two endpoints with one name for both.
+func (c *checker) names() {
+	p := c.platform
+	if p == nil {
+		if z := c.settings.Fleet.Zone; z != "" && len(c.settings.Fleet.Zones) > 0 && !slices.Contains(c.settings.Fleet.Zones, z) {
+			c.refuse("zone-unknown", "fleet.zone", quoted(z), "one of fleet.zones")
+		}
+		return
+	}
+	m := p.Module
+	if n := len(p.Zones); n > 0 && (m.Zone < 0 || m.Zone >= n) {
+		c.refuse("zone-unknown", "settings.zone", fmt.Sprint(m.Zone), fmt.Sprintf("0 to %d, an index of settings.zones", n-1))
+	}
+	if n := len(p.Layers); n > 0 && (m.Tier < 0 || m.Tier >= n) {
+		c.refuse("tier-unknown", "settings.tier", fmt.Sprint(m.Tier), fmt.Sprintf("0 to %d, an index of settings.layers", n-1))
+	}
+	c.unique("settings.zones", p.Zones)
+	c.unique("settings.layers", p.Layers)
+	tenants := make([]string, len(m.Tenants))
+	for i, t := range m.Tenants {
+		tenants[i] = t.Name
+	}
+	c.unique("settings.tenants", tenants)
+	ids := make([]string, len(p.Known.Instances))
+	for i, in := range p.Known.Instances {
+		ids[i] = in.ID
+		if len(p.Zones) > 0 && in.Zone != "" && !slices.Contains(p.Zones, in.Zone) {
+			c.refuse("zone-unknown", fmt.Sprintf("known.instances[%d].zone", i), quoted(in.Zone), "one of settings.zones")
+		}
+	}
+	c.unique("known.instances", ids)
+}
+
+// unique reports names of a list that are empty or stand in it twice.
+func (c *checker) unique(key string, names []string) {
+	seen := make(map[string]bool)
+	for i, name := range names {
+		if seen[name] || name == "" {
+			c.refuse("name-twice", fmt.Sprintf("%s[%d]", key, i), quoted(name), "a name that is not empty and stands there once")
+		}
+		seen[name] = true
+	}
+}
+
 // classNames reports names that stand for no class, or nearly for another.
 func (c *checker) classNames() {
 	folded := make(map[string]string)
@@ -275,7 +322,7 @@
 	switch {
 	case 2*margin >= k.Goal && c.given("callers.answer_margin"):
 		c.refuse("margin-past-wanted", "callers.answer_margin", show(margin), "under half of "+show(k.Goal)+", wanted of class "+k.Name)
-	case connect+kept >= k.Goal && c.given("endpoints.connect_time", at+".wanted"):
+	case connect+kept >= k.Goal && (c.platform != nil && c.platform.Module.Limits.ConnectTimeout > 0 || c.given("endpoints.connect_time", at+".wanted")):
 		c.refuse("connect-past-wanted", "endpoints.connect_time", show(connect), "under "+show(k.Goal-kept)+" for class "+k.Name)
 	case c.stated(at, "attempts") && c.attempts(k) > 1 && connect*time.Duration(c.attempts(k))+kept > k.Goal:
 		key := at + ".attempts"
