--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -79,7 +79,10 @@
 		}
 		listeners = append(listeners, l)
 	}
-	server := sidecar.NewServer(cfg, engine)
+	server, err := sidecar.NewServer(cfg, engine)
+	if err != nil {
+		return err
+	}
 	served := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() { served <- server.Serve(l) }()
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -15,12 +15,20 @@
 )
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == lab.ProxyCommand { // the lab starts itself as the other side of -compare
-		exit(lab.ReverseProxy(os.Args[2:]))
+	if ran, err := lab.Rival(os.Args[1:]); ran { // the lab starts itself as the other sides of -compare
+		exit(err)
 		return
 	}
 	var cfg lab.Config
-	compare := flag.Bool("compare", false, "measure the program beside httputil.ReverseProxy")
+	var how lab.Compared
+	compare := flag.Bool("compare", false, "measure the program beside httputil.ReverseProxy, a fasthttp proxy and no proxy")
+	flag.IntVar(&how.Callers, "callers", 32, "with -compare: `callers`, each on a connection")
+	flag.IntVar(&how.Nodes, "nodes", 20, "with -compare: `nodes`, which answer at once")
+	flag.IntVar(&how.Body, "body", 200, "with -compare: `bytes` of a request's body")
+	flag.IntVar(&how.Answer, "answer", 200, "with -compare: `bytes` of an answer's body")
+	flag.DurationVar(&how.Think, "think", 0, "with -compare: a caller's `time` between an answer and its next request")
+	flag.IntVar(&how.Rounds, "rounds", 3, "with -compare: `rounds` of each side")
+	flag.IntVar(&how.Open, "open", 1000, "with -compare: idle callers and open `calls` at which memory is measured, 0 for none")
 	flag.StringVar(&cfg.Dir, "dir", "", "`folder` for the files; one is made if it is left out")
 	flag.StringVar(&cfg.Program, "program", "", "the `program` to run; it is built if this is left out")
 	flag.Float64Var(&cfg.Rate, "rate", 20, "orders a second, 1 to 200")
@@ -40,7 +48,7 @@
 		cfg.Dir = dir
 	}
 	if *compare {
-		exit(lab.Compare(ctx, cfg))
+		exit(lab.Compare(ctx, cfg, how))
 		return
 	}
 	exit(lab.Run(ctx, cfg))
--- /dev/null
+++ b/internal/door/conn.go
@@ -0,0 +1,226 @@
+package door
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+)
+
+// errDone says that a connection has ended as it should.
+var errDone = errors.New("the connection ends")
+
+// The end of a connection on which more may come: it is read for a while, so that the answer
+// is not lost to a reset.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// serve serves a connection until it ends.
+func (d *Door) serve(c *conn) {
+	defer func() {
+		if fault := recover(); fault != nil { // one request's, which the others outlive
+			slog.Error("door: panic", "fault", fault, "stack", string(debug.Stack()))
+		}
+		c.Close()
+		d.leave(c)
+		<-d.slots
+	}()
+	for {
+		if err := d.next(c); err != nil {
+			break
+		}
+	}
+	if c.buf != nil {
+		d.bufs.Put(c.buf)
+	}
+}
+
+// next serves one request. An error ends the connection.
+func (d *Door) next(c *conn) error {
+	times := d.cfg.Times()
+	if c.buf == nil {
+		wait := times.Idle
+		if c.arrived.IsZero() {
+			wait = times.Head
+		}
+		c.SetReadDeadline(time.Now().Add(wait))
+		if err := d.fill(c); err != nil {
+			return err
+		}
+		c.arrived = c.read
+	}
+	c.head.Reset()
+	n, err := c.head.Parse(c.buf.Bytes())
+	for began := false; n == 0 && err == nil; began = true {
+		if !began {
+			if !d.reached(c, partial) {
+				return errDone
+			}
+			c.SetReadDeadline(c.read.Add(times.Head))
+		}
+		if err := d.fill(c); err != nil {
+			return err
+		}
+		n, err = c.head.Parse(c.buf.Bytes())
+	}
+	if err != nil {
+		return d.refuse(c, refusal(err))
+	}
+	c.x.State = nil
+	if r := d.cfg.Handler.Head(&c.x); r != nil {
+		return d.refuse(c, r)
+	}
+	if c.head.Framing() == http1.Chunked {
+		return d.refuse(c, &Refusal{411, "Transfer-Encoding: not taken, send a Content-Length"})
+	}
+	whole := n + int(max(c.head.ContentLength(), 0))
+	if c.buf.Len() < whole {
+		if err := d.body(c, whole); err != nil {
+			return err
+		}
+	}
+	text := c.buf.Bytes()
+	c.head.Moved(text)
+	if !d.reached(c, taken) {
+		return errDone
+	}
+	return d.answer(c, text[n:whole], whole)
+}
+
+// body waits for the rest of a request.
+func (d *Door) body(c *conn, whole int) error {
+	if !d.reached(c, partial) {
+		return errDone
+	}
+	times := d.cfg.Times()
+	if c.head.ExpectsContinue() {
+		c.SetWriteDeadline(time.Now().Add(times.Write))
+		if _, err := io.WriteString(c, http1.Continue); err != nil {
+			return err
+		}
+	}
+	c.SetReadDeadline(time.Now().Add(times.Body))
+	for c.buf.Len() < whole {
+		if err := d.fill(c); err != nil {
+			return d.refuse(c, &Refusal{400, "body: it did not come whole in time"})
+		}
+	}
+	return nil
+}
+
+// fill reads what has come.
+func (d *Door) fill(c *conn) error {
+	b, err := c.Fill(c.buf)
+	c.buf = b
+	if err == nil {
+		c.read = time.Now()
+	}
+	return err
+}
+
+// refusal is the answer to a head that can't be read.
+func refusal(err error) *Refusal {
+	if e := (*http1.Error)(nil); errors.As(err, &e) {
+		return &Refusal{e.Status, e.Error()}
+	}
+	return &Refusal{400, err.Error()}
+}
+
+// refuse answers a request that can't be used, and ends the connection.
+func (d *Door) refuse(c *conn, r *Refusal) error {
+	if !d.reached(c, partial) {
+		return errDone
+	}
+	x := &c.x
+	x.begin(nil)
+	x.Close = true
+	x.Answer(r.Status, "text/plain; charset=utf-8", nil, []byte(r.Why+"\n"))
+	err := d.write(c)
+	x.end()
+	if err != nil {
+		return err
+	}
+	d.linger(c)
+	return errDone
+}
+
+// linger reads on for a while after the last answer.
+func (d *Door) linger(c *conn) {
+	if c.CloseWrite() != nil {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTime))
+	if c.buf != nil {
+		c.buf.Reset()
+	}
+	for left := lingerBytes; left > 0; {
+		if d.fill(c) != nil {
+			return
+		}
+		left -= c.buf.Len()
+		c.buf.Reset()
+	}
+}
+
+// answer has a request answered and makes the connection ready for the next.
+func (d *Door) answer(c *conn, body []byte, whole int) error {
+	x := &c.x
+	x.begin(body)
+	x.Close = c.head.Closes()
+	d.cfg.Handler.Serve(x)
+	// What has come by now was sent before its caller saw this answer, at what time is not
+	// known: the earliest is taken, so that its answer is not late.
+	ahead := time.Since(c.read) > aheadTime && !c.Quiet()
+	if x.out == nil {
+		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
+	}
+	err := d.write(c)
+	closes := x.Close
+	x.end()
+	if err != nil {
+		return err
+	}
+	if closes {
+		if ahead || c.buf.Len() > whole {
+			d.linger(c)
+		}
+		return errDone
+	}
+	c.buf.Skip(whole)
+	if c.arrived = c.read; c.buf.Len() > 0 {
+		return nil // the next request came with this one
+	}
+	d.bufs.Put(c.buf)
+	c.buf = nil
+	if ahead {
+		c.SetReadDeadline(time.Now().Add(d.cfg.Times().Head))
+		came := c.arrived
+		if err := d.fill(c); err != nil {
+			return err
+		}
+		c.arrived = came
+		return nil
+	}
+	if !d.reached(c, idle) {
+		return errDone
+	}
+	if d.draining.Load() && c.Quiet() { // Shutdown may have looked for idle ones before
+		return errDone
+	}
+	return nil
+}
+
+// aheadTime is a wait that a request which came ahead may be off by.
+const aheadTime = 5 * time.Millisecond
+
+// write writes the answer.
+func (d *Door) write(c *conn) error {
+	c.SetWriteDeadline(time.Now().Add(d.cfg.Times().Write))
+	_, err := c.Write(c.x.out)
+	return err
+}
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,333 @@
+// Package door takes callers' connections and reads their requests. It holds to what each
+// caller may take of time, bytes and places, and hands on whole requests only; what they are
+// about is a [Handler]'s to judge.
+//
+// Each connection has one goroutine, which serves its requests one after another. It holds no
+// buffer while the connection is idle. One further goroutine hears of all callers that go away
+// while their request is being answered.
+package door
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/sock"
+)
+
+// Handler answers requests.
+type Handler interface {
+	// Head judges a request by its head, before its body is waited for. It returns nil to have
+	// the body read, or the answer to it; the connection ends after that, since what follows on
+	// it can't be trusted.
+	Head(x *Exchange) *Refusal
+
+	// Serve answers a request that has come whole, by x.Answer. What x holds is valid until it
+	// returns.
+	Serve(x *Exchange)
+}
+
+// Refusal is the answer to a request that can't be used.
+type Refusal struct {
+	Status int
+	Why    string
+}
+
+// Leaver is told, once, that the caller of a request that is being answered has gone. It must
+// not call the door.
+type Leaver interface{ Leave() }
+
+// Times are what a caller may take. They may change while the door is open.
+type Times struct {
+	Head  time.Duration // from a request's first byte, or a connection's begin, to its head's end
+	Body  time.Duration // for the body
+	Idle  time.Duration // between two requests
+	Write time.Duration // to take an answer
+	Grace time.Duration // for which part of a request is safe from giving way
+}
+
+// Config says how a door is kept.
+type Config struct {
+	Handler Handler
+	Places  int // connections that may be open
+	MaxHead int // bytes of a request's head
+	Times   func() Times
+}
+
+// Door is a server of callers.
+type Door struct {
+	cfg      Config
+	limits   http1.Limits
+	bufs     http1.Buffers
+	outs     sync.Pool     // of *[]byte, for answers
+	slots    chan struct{} // one for each connection that is open
+	shut     chan struct{}
+	draining atomic.Bool
+	watch    *sock.Watch
+	date     atomic.Pointer[date]
+
+	mu        sync.Mutex
+	places    places
+	conns     map[uint64]*conn // that are open, by number
+	last      uint64
+	looking   bool // a timer will make room
+	listeners []net.Listener
+	empty     chan struct{} // closed once the last connection has gone, where Shutdown waits
+}
+
+// conn is a caller's connection. Its goroutine owns it; what is under mu is the door's.
+type conn struct {
+	*sock.Conn
+	guest  guest // under Door.mu
+	number uint64
+	gone   bool   // the caller has gone; under Door.mu
+	leaver Leaver // of the request that is being answered; under Door.mu
+
+	head    *http1.Request
+	buf     *http1.Buffer // nil while there is nothing in it
+	arrived time.Time     // when the first byte of the request came
+	read    time.Time     // the last time that something came
+	x       Exchange
+}
+
+// New returns a Door.
+func New(cfg Config) (*Door, error) {
+	w, err := sock.NewWatch()
+	if err != nil {
+		return nil, fmt.Errorf("door: %w", err)
+	}
+	d := &Door{
+		cfg: cfg, limits: http1.DefaultLimits, watch: w,
+		slots: make(chan struct{}, cfg.Places), shut: make(chan struct{}),
+		places: places{most: cfg.Places}, conns: make(map[uint64]*conn),
+	}
+	d.limits.Head = cfg.MaxHead
+	go func() {
+		if err := w.Run(d.left); err != nil {
+			slog.Error("door: callers that go away are noticed no more", "err", err)
+		}
+	}()
+	return d, nil
+}
+
+// Serve accepts connections until Shutdown or Close. Several listeners may be served together.
+func (d *Door) Serve(l net.Listener) error {
+	d.mu.Lock()
+	d.listeners = append(d.listeners, l)
+	d.mu.Unlock()
+	var pause time.Duration
+	for {
+		select {
+		case d.slots <- struct{}{}:
+		case <-d.shut:
+			return nil
+		}
+		c, err := l.Accept()
+		if err == nil {
+			err = d.enter(c)
+		}
+		if err == nil {
+			pause = 0
+			continue
+		}
+		<-d.slots
+		select {
+		case <-d.shut:
+			return nil
+		default:
+		}
+		// A connection that breaks as it is accepted says nothing of the next. Without a
+		// descriptor the next fails too, until one is free: the least loss gives way.
+		if !passing(err) {
+			return fmt.Errorf("door: %w", err)
+		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			d.mu.Lock()
+			d.evict(nil)
+			d.mu.Unlock()
+		}
+		pause = min(max(2*pause, time.Millisecond), 100*time.Millisecond)
+		select {
+		case <-time.After(pause):
+		case <-d.shut:
+			return nil
+		}
+	}
+}
+
+// passing tells whether accepting may go on after an error.
+func passing(err error) bool {
+	for _, e := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET,
+		syscall.EPROTO, syscall.EPERM, syscall.ETIMEDOUT, syscall.ENOSPC,
+	} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// enter lets a connection in, whose place has been taken.
+func (d *Door) enter(nc net.Conn) error {
+	s, err := sock.New(nc, &d.bufs)
+	if err != nil {
+		return errors.Join(err, nc.Close())
+	}
+	c := &conn{Conn: s, head: http1.NewRequest(d.limits)}
+	c.guest.conn, c.x.c, c.x.d = c, c, d
+	d.mu.Lock()
+	d.last++
+	c.number = d.last
+	d.conns[c.number] = c
+	d.places.enter(&c.guest, time.Now())
+	d.makeRoom(&c.guest)
+	d.mu.Unlock()
+	if err := d.watch.Add(s, c.number); err != nil && !errors.Is(err, net.ErrClosed) {
+		d.leave(c)
+		return errors.Join(err, nc.Close())
+	}
+	go d.serve(c)
+	return nil
+}
+
+// leave forgets a connection.
+func (d *Door) leave(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.places.leave(&c.guest)
+	delete(d.conns, c.number)
+	if len(d.conns) == 0 && d.empty != nil {
+		close(d.empty)
+		d.empty = nil
+	}
+}
+
+// reached notes the stage of a connection, and tells whether it is still in.
+func (d *Door) reached(c *conn, at stage) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.places.move(&c.guest, at, time.Now()) {
+		return false
+	}
+	if at != taken {
+		d.makeRoom(&c.guest)
+	}
+	return true
+}
+
+// makeRoom closes connections until a place is free. If none may be closed yet, it looks
+// again later.
+func (d *Door) makeRoom(newest *guest) {
+	for d.places.full() {
+		if d.evict(newest) {
+			continue
+		}
+		if !d.looking {
+			d.looking = true
+			time.AfterFunc(d.cfg.Times().Grace, func() {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.looking = false
+				d.makeRoom(nil)
+			})
+		}
+		return
+	}
+}
+
+// evict closes the connection that is the least loss, and tells whether there was one.
+func (d *Door) evict(newest *guest) bool {
+	out := d.places.victim(newest, time.Now(), d.cfg.Times().Grace, func(g *guest) bool { return g.conn.Quiet() })
+	if out == nil {
+		return false
+	}
+	d.places.leave(out)
+	out.conn.Close() // its goroutine finds that it has given way
+	return true
+}
+
+// left tells whoever answers a caller's request that the caller has gone.
+func (d *Door) left(number uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.conns[number]
+	if c == nil || c.gone {
+		return
+	}
+	c.gone = true
+	if c.leaver != nil {
+		c.leaver.Leave()
+	}
+}
+
+// Shutdown steers callers off: idle connections are closed, answers say that theirs ends, and
+// after linger no more connections are accepted. It returns when all have gone, or when ctx
+// ends, with how many are left.
+func (d *Door) Shutdown(ctx context.Context, linger time.Duration) (left int) {
+	d.draining.Store(true)
+	d.mu.Lock()
+	for g := d.places.lists[idle].front; g != nil; g = g.next {
+		if c := g.conn; c.Quiet() { // else a request is about to be read
+			c.Close()
+		}
+	}
+	d.mu.Unlock()
+	select {
+	case <-time.After(linger):
+	case <-ctx.Done():
+	}
+	d.closeListeners()
+	d.mu.Lock()
+	empty := make(chan struct{})
+	if len(d.conns) == 0 {
+		close(empty)
+	} else {
+		d.empty = empty
+	}
+	d.mu.Unlock()
+	select {
+	case <-empty:
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	left = len(d.conns)
+	d.mu.Unlock()
+	d.Close()
+	return left
+}
+
+func (d *Door) closeListeners() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.shut:
+	default:
+		close(d.shut)
+	}
+	for _, l := range d.listeners {
+		l.Close()
+	}
+	d.listeners = nil
+}
+
+// Close ends all listeners and connections at once.
+func (d *Door) Close() {
+	d.closeListeners()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.Close()
+	}
+	d.watch.Close()
+}
+
+// Draining tells whether Shutdown has begun.
+func (d *Door) Draining() bool { return d.draining.Load() }
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,566 @@
+package door
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience is how long a test waits for what must happen: no verdict leans on it being short.
+const patience = 20 * time.Second
+
+// echo answers with the method, the target and the body. /hold waits for free, or until the
+// caller goes; /long answers with 4 MiB; /panic panics; /no is refused by its head.
+type echo struct {
+	held, left chan struct{}
+	free       chan struct{}
+	served     atomic.Int32
+}
+
+func newEcho() *echo {
+	return &echo{held: make(chan struct{}, 2000), left: make(chan struct{}, 2000), free: make(chan struct{})}
+}
+
+func (*echo) Head(x *Exchange) *Refusal {
+	if string(x.Head().Path()) == "/no" {
+		return &Refusal{http.StatusForbidden, "no"}
+	}
+	x.State = "seen"
+	return nil
+}
+
+// leaver tells a channel.
+type leaver chan struct{}
+
+func (l leaver) Leave() { l <- struct{}{} }
+
+func (e *echo) Serve(x *Exchange) {
+	e.served.Add(1)
+	if x.State != "seen" {
+		panic("not seen by Head")
+	}
+	switch path := string(x.Head().Path()); path {
+	case "/panic":
+		panic("a fault")
+	case "/long":
+		x.Answer(200, "", nil, make([]byte, 4<<20))
+		return
+	case "/hold":
+		left := make(leaver, 1)
+		here := x.Watch(left)
+		e.held <- struct{}{}
+		if here {
+			select {
+			case <-left:
+				here = false
+			case <-e.free:
+			}
+		}
+		x.Unwatch()
+		if !here {
+			e.left <- struct{}{}
+		}
+	}
+	x.Answer(200, "text/plain", nil, fmt.Appendf(nil, "%s %s %s", x.Head().Method(), x.Head().Target(), x.Body))
+}
+
+type house struct {
+	t      testing.TB
+	door   *Door
+	echo   *echo
+	addr   string
+	served chan error
+}
+
+func usualTimes() Times {
+	return Times{Head: patience, Body: patience, Idle: patience, Write: patience, Grace: patience}
+}
+
+func open(t testing.TB, places int, times Times) *house {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return openAt(t, l, places, times)
+}
+
+func openAt(t testing.TB, l net.Listener, places int, times Times) *house {
+	t.Helper()
+	e := newEcho()
+	d, err := New(Config{Handler: e, Places: places, MaxHead: 16 << 10, Times: func() Times { return times }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &house{t: t, door: d, echo: e, addr: l.Addr().String(), served: make(chan error, 1)}
+	go func() { h.served <- d.Serve(l) }()
+	t.Cleanup(d.Close)
+	return h
+}
+
+// dial opens a connection and sends a text on it.
+func (h *house) dial(text string) net.Conn {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(c, text); err != nil {
+		h.t.Fatal(err)
+	}
+	return c
+}
+
+func post(target, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", target, len(body), body)
+}
+
+// answer reads one answer.
+func (h *house) answer(in *bufio.Reader) (*http.Response, string) {
+	h.t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func (h *house) wait(c <-chan struct{}, what string) {
+	h.t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patience):
+		h.t.Fatalf("%s: not within %v", what, patience)
+	}
+}
+
+// gone waits until no connection is left.
+func (h *house) gone(most int) {
+	h.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		h.door.mu.Lock()
+		n := len(h.door.conns)
+		h.door.mu.Unlock()
+		if n <= most && len(h.door.slots) <= most+1 { // one place is for whoever comes next
+			return
+		}
+		if time.Now().After(end) {
+			h.t.Fatalf("%d connections and %d places are left", n, len(h.door.slots))
+		}
+	}
+}
+
+// Requests of each shape are answered in turn on one connection, whole or a byte a segment.
+func TestServes(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	long := strings.Repeat("x", 60<<10)
+	for name, cut := range map[string]int{"whole": 1 << 20, "by bytes": 1} {
+		c := h.dial("")
+		in := bufio.NewReader(c)
+		for _, body := range []string{"", "short", long} {
+			if cut == 1 && len(body) > 100 {
+				continue
+			}
+			text := post("/a?b", body)
+			for len(text) > 0 {
+				n := min(cut, len(text))
+				if _, err := io.WriteString(c, text[:n]); err != nil {
+					t.Fatal(err)
+				}
+				text = text[n:]
+			}
+			resp, got := h.answer(in)
+			if resp.StatusCode != 200 || got != "POST /a?b "+body || resp.Close || resp.Header.Get("Date") == "" {
+				t.Errorf("%s: %s %v %.40q", name, resp.Status, resp.Header, got)
+			}
+		}
+	}
+}
+
+// Connection: close is kept to, and a client that waits for 100 Continue gets it where the
+// body is wanted only.
+func TestCloseAndContinue(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	c := h.dial("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	in := bufio.NewReader(c)
+	if resp, _ := h.answer(in); !resp.Close {
+		t.Error("the answer does not say that the connection ends")
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("%v, want the end", err)
+	}
+	for target, want := range map[string]int{"/": 100, "/no": 403} {
+		c := h.dial("POST " + target + " HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%s: %v %v", target, resp, err)
+		}
+		if want == 100 {
+			io.WriteString(c, "ok")
+			if _, body := h.answer(in); body != "POST / ok" {
+				t.Errorf("%q", body)
+			}
+		}
+	}
+}
+
+// Of requests sent ahead, those that can be read are answered in their order; one that can't
+// is refused, and ends the connection whatever follows.
+func TestPipelined(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	for name, bad := range map[string]string{
+		"noise": "\x00\xff", "two lengths": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nContent-Length: 9\r\n\r\n",
+		"refused": post("/no", "body"),
+	} {
+		before := h.echo.served.Load()
+		c := h.dial(post("/1", "a") + post("/2", "") + bad + post("/3", "c"))
+		in := bufio.NewReader(c)
+		for _, want := range []string{"POST /1 a", "POST /2 "} {
+			if _, got := h.answer(in); got != want {
+				t.Errorf("%s: %q, want %q", name, got, want)
+			}
+		}
+		if resp, _ := h.answer(in); resp.StatusCode/100 != 4 || !resp.Close {
+			t.Errorf("%s: %s, closes %v", name, resp.Status, resp.Close)
+		}
+		if n, _ := io.Copy(io.Discard, in); n > 0 {
+			t.Errorf("%s: %d bytes follow", name, n)
+		}
+		if n := h.echo.served.Load() - before; n != 2 {
+			t.Errorf("%s: %d were served, want 2", name, n)
+		}
+	}
+}
+
+// A caller may end its connection or reset it in each stage. Nothing is kept of it, and
+// whoever answers it is told.
+func TestCallerGoes(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	for name, text := range map[string]string{
+		"silent": "", "part of a head": "POST / HT", "a head": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n",
+		"part of a body": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", "taken": post("/hold", ""),
+		"taken, with more behind": post("/hold", "") + "POST",
+	} {
+		for how, end := range map[string]func(c *net.TCPConn){
+			"closes": func(c *net.TCPConn) { c.Close() },
+			"resets": func(c *net.TCPConn) {
+				c.SetLinger(0)
+				c.Close()
+			},
+			"ends its sending": func(c *net.TCPConn) { c.CloseWrite() },
+		} {
+			c := h.dial(text).(*net.TCPConn)
+			if strings.HasPrefix(name, "taken") {
+				h.wait(h.echo.held, "request")
+			}
+			end(c)
+			if strings.HasPrefix(name, "taken") {
+				h.wait(h.echo.left, name+", "+how)
+			}
+			h.gone(0)
+		}
+	}
+}
+
+// A caller that reads nothing is ended once its time to take the answer is up.
+func TestCallerReadsNothing(t *testing.T) {
+	times := usualTimes()
+	times.Write = 20 * time.Millisecond
+	h := open(t, 10, times)
+	h.dial(post("/long", ""))
+	for h.echo.served.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.gone(0)
+}
+
+// Each stage has its time; then the caller is ended, with an answer where it has begun a body.
+func TestTimes(t *testing.T) {
+	times := usualTimes()
+	times.Head, times.Body, times.Idle = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
+	h := open(t, 10, times)
+	for name, text := range map[string]string{
+		"silent": "", "half a head": "POST / HTTP/1.1\r\n", "half a body": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf",
+		"idle": post("/", "x"),
+	} {
+		c := h.dial(text)
+		got, err := io.ReadAll(c)
+		if err != nil || name == "half a body" && !strings.HasPrefix(string(got), "HTTP/1.1 400") || name == "idle" && !strings.Contains(string(got), "POST / x") {
+			t.Errorf("%s: %q %v", name, got, err)
+		}
+	}
+	h.gone(0)
+}
+
+// 1,000 callers that send their heads a byte at a time are ended in time and don't keep out
+// one that asks.
+func TestSlowHeads(t *testing.T) {
+	times := usualTimes()
+	times.Head, times.Grace = 2*time.Second, 10*time.Millisecond
+	const slow = 1000
+	h := open(t, 64, times)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var ended atomic.Int32
+	for range slow {
+		c, err := net.Dial("tcp", h.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer c.Close()
+			for _, b := range []byte("POST / HTTP/1.1\r\nX: " + strings.Repeat("x", 10000)) {
+				if _, err := c.Write([]byte{b}); err != nil {
+					ended.Add(1)
+					return
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	for i := range 5 {
+		if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
+			t.Errorf("%d: %q", i, got)
+		}
+	}
+	for end := time.Now().Add(2 * patience); ended.Load() < slow && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(stop)
+	wg.Wait()
+	if n := ended.Load(); n != slow {
+		t.Errorf("%d of %d were ended", n, slow)
+	}
+}
+
+// 1,000 idle callers hold less than 4 KiB each, their own ends in this process included, and
+// each is answered again.
+func TestIdleCallers(t *testing.T) {
+	const callers = 1000
+	h := open(t, callers+10, usualTimes())
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC() // what sync.Pool holds goes with the second
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	conns := make([]net.Conn, callers)
+	ask := func(c net.Conn) {
+		t.Helper()
+		if _, err := io.WriteString(c, post("/", "x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, got := h.answer(bufio.NewReader(c)); got != "POST / x" {
+			t.Fatalf("%q", got)
+		}
+	}
+	for i := range conns {
+		conns[i] = h.dial("")
+		ask(conns[i])
+	}
+	h.idle(callers)
+	each := int64(heap()-before) / callers
+	t.Logf("%d bytes each", each)
+	if each >= 4<<10 {
+		t.Errorf("an idle caller holds %d bytes", each)
+	}
+	for _, c := range conns {
+		ask(c)
+	}
+}
+
+// idle waits until so many connections are idle.
+func (h *house) idle(want int) {
+	h.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		n := 0
+		h.door.mu.Lock()
+		for g := h.door.places.lists[idle].front; g != nil; g = g.next {
+			n++
+		}
+		h.door.mu.Unlock()
+		if n == want {
+			return
+		}
+		if time.Now().After(end) {
+			h.t.Fatalf("%d are idle, want %d", n, want)
+		}
+	}
+}
+
+// As the end begins, in each stage: what is idle ends, what has been taken is answered, what
+// comes in time is served, and both are told that their connection ends.
+func TestShutdown(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	idleOne := h.dial(post("/", ""))
+	idleIn := bufio.NewReader(idleOne)
+	h.answer(idleIn)
+	h.idle(1)
+	quiet := h.dial("")
+	half := h.dial("POST / HTTP/1.1\r\nHost: a\r\n")
+	body := h.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha")
+	held := h.dial(post("/hold", ""))
+	h.wait(h.echo.held, "request")
+	stopped := make(chan int, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		stopped <- h.door.Shutdown(ctx, 500*time.Millisecond)
+	}()
+	for !h.door.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := idleIn.ReadByte(); err != io.EOF {
+		t.Errorf("idle: %v, want the end", err)
+	}
+	late := h.dial(post("/late", "x")) // within the time that connections are still accepted
+	io.WriteString(quiet, post("/quiet", ""))
+	io.WriteString(half, "Content-Length: 0\r\n\r\n")
+	io.WriteString(body, "lf")
+	close(h.echo.free)
+	for name, c := range map[string]net.Conn{"late": late, "silent": quiet, "half a head": half, "half a body": body, "taken": held} {
+		in := bufio.NewReader(c)
+		if resp, _ := h.answer(in); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s: %s, closes %v", name, resp.Status, resp.Close)
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: %v, want the end", name, err)
+		}
+	}
+	select {
+	case left := <-stopped:
+		if left != 0 {
+			t.Errorf("%d connections are left", left)
+		}
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+	if err := <-h.served; err != nil {
+		t.Error(err)
+	}
+}
+
+// Shutdown ends with its context, whoever is left.
+func TestShutdownIsBounded(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	h.dial(post("/hold", ""))
+	h.wait(h.echo.held, "request")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if left := h.door.Shutdown(ctx, 0); left != 1 {
+		t.Errorf("%d connections are left, want 1", left)
+	}
+	close(h.echo.free)
+}
+
+// scarce is a listener for which descriptors run out now and then.
+type scarce struct {
+	net.Listener
+	n atomic.Int32
+}
+
+func (s *scarce) Accept() (net.Conn, error) {
+	if s.n.Add(1)%2 == 1 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return s.Listener.Accept()
+}
+
+// Descriptors that run out end neither the listener nor what has been taken; an idle
+// connection gives its own up.
+func TestNoDescriptors(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := openAt(t, &scarce{Listener: l}, 10, usualTimes())
+	held := h.dial(post("/hold", ""))
+	h.wait(h.echo.held, "request")
+	idle := h.dial(post("/", ""))
+	idleIn := bufio.NewReader(idle)
+	h.answer(idleIn)
+	h.idle(1)
+	if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
+		t.Errorf("%q", got)
+	}
+	h.dial("") // has the listener run out once more
+	if _, err := idleIn.ReadByte(); err != io.EOF && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the idle one: %v", err)
+	}
+	close(h.echo.free)
+	if _, got := h.answer(bufio.NewReader(held)); got != "POST /hold " {
+		t.Errorf("%q", got)
+	}
+}
+
+// Another error of the listener is told.
+func TestListenerFails(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := openAt(t, l, 10, usualTimes())
+	l.Close()
+	select {
+	case err := <-h.served:
+		if err == nil {
+			t.Error("no error")
+		}
+	case <-time.After(patience):
+		t.Fatal("it goes on")
+	}
+}
+
+// A fault in answering one request ends its connection and no other.
+func TestPanic(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	if got, err := io.ReadAll(h.dial(post("/panic", ""))); err != nil || len(got) > 0 {
+		t.Errorf("%q %v", got, err)
+	}
+	if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
+		t.Errorf("%q", got)
+	}
+	h.gone(1)
+}
+
+// BenchmarkDoor is one request after another on a connection, with nothing behind the door.
+func BenchmarkDoor(b *testing.B) {
+	h := open(b, 10, usualTimes())
+	c := h.dial("")
+	text, buf := []byte(post("/", "0123456789")), make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Write(text); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.Read(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/door/exchange.go
@@ -0,0 +1,97 @@
+package door
+
+import (
+	"net/http"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+)
+
+// Exchange is a request that has come whole, and its answer.
+type Exchange struct {
+	Body  []byte
+	Close bool // the connection ends with the answer
+	State any  // the handler's, from Head to Serve
+
+	d     *Door
+	c     *conn
+	out   []byte
+	owned *[]byte // of Door.outs, which out may have outgrown
+}
+
+// Head is the request's head.
+func (x *Exchange) Head() *http1.Request { return x.c.head }
+
+// Came is when the request's first byte came. One that was sent ahead of the answer to the one
+// before has waited for that, all of which its caller counts.
+func (x *Exchange) Came() time.Time { return x.c.arrived }
+
+func (x *Exchange) begin(body []byte) {
+	x.Body, x.Close = body, false
+	x.out = nil
+	owned, ok := x.d.outs.Get().(*[]byte)
+	if !ok {
+		owned = new([]byte)
+	}
+	x.owned = owned
+}
+
+// mostOut is the largest space of an answer that is kept for another.
+const mostOut = 64 << 10
+
+func (x *Exchange) end() {
+	if *x.owned = x.out[:0]; cap(x.out) <= mostOut {
+		x.d.outs.Put(x.owned)
+	}
+	x.out, x.owned, x.Body = nil, nil, nil
+}
+
+// Watch has l told if the caller goes away before Unwatch, which is owed. It returns false if
+// the caller has gone by now.
+func (x *Exchange) Watch(l Leaver) bool {
+	x.d.mu.Lock()
+	defer x.d.mu.Unlock()
+	x.c.leaver = l
+	return !x.c.gone
+}
+
+// Unwatch ends Watch: l is told nothing from then on.
+func (x *Exchange) Unwatch() {
+	x.d.mu.Lock()
+	defer x.d.mu.Unlock()
+	x.c.leaver = nil
+}
+
+// Answer sets the answer: fields appends further ones, whole lines, or is nil. Framing, Date
+// and Connection are the door's, see RFC 9110, 6.6.1 and 7.6.1.
+func (x *Exchange) Answer(status int, contentType string, fields func(b []byte) []byte, body []byte) {
+	b := http1.AppendStatusLine((*x.owned)[:0], status)
+	if contentType != "" {
+		b = http1.AppendField(b, "Content-Type", contentType)
+	}
+	b = x.d.appendDate(b)
+	if fields != nil {
+		b = fields(b)
+	}
+	if x.Close = x.Close || x.d.draining.Load(); x.Close {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	b = http1.AppendEnd(http1.AppendLength(b, int64(len(body))))
+	x.out = append(b, body...)
+}
+
+// date is a Date field for one second.
+type date struct {
+	second int64
+	field  []byte
+}
+
+func (d *Door) appendDate(b []byte) []byte {
+	now := time.Now()
+	at := d.date.Load()
+	if at == nil || at.second != now.Unix() {
+		at = &date{now.Unix(), http1.AppendField(nil, "Date", now.UTC().Format(http.TimeFormat))}
+		d.date.Store(at)
+	}
+	return append(b, at.field...)
+}
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,431 @@
+// Package http1 reads and writes HTTP/1.1 messages, without sockets and without a clock. It
+// follows RFC 9112 (syntax and framing) and RFC 9110 (semantics), strictly: what two readers
+// could take for different messages is refused, and what is taken is passed on in one form.
+//
+// A head is parsed in place, as its bytes come, into fields by offset: no copies, no maps, no
+// canonical names. [Request] and [Answer] are reused from message to message; what they return
+// points into the bytes that they parsed and holds as long as those do.
+//
+// Everything that a peer may make grow has a bound, see [Limits].
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Limits bound what a peer may send ahead of a body and inside a chunked one.
+type Limits struct {
+	Head   int // bytes of a head, with its start line and its last line
+	Fields int // fields of a head
+	Chunk  int // bytes of a chunk's size line, with its extensions
+	Tail   int // bytes of all trailers of a body
+}
+
+// DefaultLimits hold where nothing else is said.
+var DefaultLimits = Limits{Head: 16 << 10, Fields: 100, Chunk: 256, Tail: 4 << 10}
+
+// Error says why a message can't be used. All are predeclared: to refuse costs nothing.
+type Error struct {
+	Status  int    // the answer that a server owes, see RFC 9110, 15.5 and 15.6
+	Section string // what it goes against
+	Why     string
+}
+
+func (e *Error) Error() string { return e.Why + " (" + e.Section + ")" }
+
+// Why a message is refused.
+var (
+	ErrBareLF        = &Error{400, "RFC 9112, 2.2", "a line ends without CR"}
+	ErrControl       = &Error{400, "RFC 9110, 5.5", "a control byte in a field"}
+	ErrStartLine     = &Error{400, "RFC 9112, 3", "the start line can't be read"}
+	ErrMethod        = &Error{400, "RFC 9110, 9.1", "the method is no token"}
+	ErrTarget        = &Error{400, "RFC 9112, 3.2", "the target can't be read"}
+	ErrAuthority     = &Error{400, "RFC 9112, 3.2.2", "the target and Host name different hosts"}
+	ErrVersion       = &Error{505, "RFC 9112, 2.3", "the version is not HTTP/1.1"}
+	ErrStatus        = &Error{502, "RFC 9112, 4", "the status can't be read"}
+	ErrFold          = &Error{400, "RFC 9112, 5.2", "a field goes on in a second line"}
+	ErrName          = &Error{400, "RFC 9112, 5.1", "a field's name is no token, or a blank comes before its colon"}
+	ErrHead          = &Error{431, "RFC 6585, 5", "the head is too long"}
+	ErrFields        = &Error{431, "RFC 6585, 5", "the head has too many fields"}
+	ErrHost          = &Error{400, "RFC 9112, 3.2", "Host is missing, given twice, or no host"}
+	ErrLength        = &Error{400, "RFC 9112, 6.3", "Content-Length is no number, or too large"}
+	ErrLengths       = &Error{400, "RFC 9112, 6.3", "more than one Content-Length"}
+	ErrCodingLength  = &Error{400, "RFC 9112, 6.1", "Content-Length beside Transfer-Encoding"}
+	ErrCoding        = &Error{501, "RFC 9112, 6.1", "a Transfer-Encoding other than chunked"}
+	ErrCodings       = &Error{400, "RFC 9112, 6.1", "more than one Transfer-Encoding"}
+	ErrConnection    = &Error{400, "RFC 9110, 7.6.1", "Connection names a field that frames or routes the message"}
+	ErrExpect        = &Error{417, "RFC 9110, 10.1.1", "an expectation other than 100-continue"}
+	ErrChunk         = &Error{400, "RFC 9112, 7.1", "a chunk can't be read"}
+	ErrChunkLine     = &Error{400, "RFC 9112, 7.1.1", "a chunk's size line is too long"}
+	ErrTrailer       = &Error{400, "RFC 9110, 6.5.1", "a trailer that can't be read, or that frames or routes the message"}
+	ErrTrailers      = &Error{431, "RFC 6585, 5", "the trailers are too long"}
+	ErrNoContent     = &Error{502, "RFC 9110, 8.6", "a length or coding in an answer that has no body"}
+	ErrUnasked       = &Error{502, "RFC 9110, 7.8", "the protocol is switched without being asked"}
+	ErrNoEnd         = &Error{502, "RFC 9112, 6.3", "a body without a length on a connection that stays open"}
+	ErrInterim       = &Error{502, "RFC 9110, 15.2", "too many interim answers"}
+	errChunksInOlder = &Error{502, "RFC 9112, 6.1", "Transfer-Encoding in HTTP/1.0"}
+)
+
+// ErrTruncated says that a message ended before it was whole.
+var ErrTruncated = errors.New("http1: the message breaks off")
+
+// Framing says how a body ends.
+type Framing uint8
+
+// The framings of a body.
+const (
+	None       Framing = iota // there is none
+	Length                    // after so many bytes
+	Chunked                   // after its last chunk
+	UntilClose                // with the connection: answers only
+)
+
+// Field is a field of a head. Both point into the message.
+type Field struct{ Name, Value []byte }
+
+// span is a field by its offsets.
+type span struct{ name, colon, value, end uint32 }
+
+// head is what requests and answers have in common.
+type head struct {
+	Limits Limits
+
+	text   []byte // of the head so far
+	start  int    // of the line that is being looked for
+	seen   int    // up to here there is no further line end
+	first  bool   // the start line has been read
+	fields []span
+
+	length      int64 // of the body by Content-Length; -1 for none
+	lengths     int
+	codings     int
+	coding      span
+	connections int  // Connection fields
+	close       bool // Connection: close
+	keep        bool // Connection: keep-alive
+	upgrade     bool // Connection: upgrade
+}
+
+func (h *head) reset() {
+	*h = head{Limits: h.Limits, fields: h.fields[:0], length: -1}
+}
+
+// Moved says where the bytes of a head that is whole are now, of which the first may be more.
+func (h *head) Moved(b []byte) { h.text = b[:len(h.text):len(h.text)] }
+
+// Len is how many fields there are.
+func (h *head) Len() int { return len(h.fields) }
+
+// Field returns the field at an index.
+func (h *head) Field(i int) Field {
+	f := h.fields[i]
+	return Field{h.text[f.name:f.colon:f.colon], h.text[f.value:f.end:f.end]}
+}
+
+// Get returns the first value of the fields with a name, in whatever case, and how many there
+// are.
+func (h *head) Get(name string) (value []byte, n int) {
+	for i := range h.fields {
+		f := &h.fields[i]
+		if int(f.colon-f.name) == len(name) && equalFold(h.text[f.name:f.colon], name) {
+			if n++; n == 1 {
+				value = h.text[f.value:f.end:f.end]
+			}
+		}
+	}
+	return value, n
+}
+
+// Value is the first value of the fields with a name, empty for none.
+func (h *head) Value(name string) []byte {
+	v, _ := h.Get(name)
+	return v
+}
+
+// ContentLength is the length of the body by its field, -1 for none.
+func (h *head) ContentLength() int64 { return h.length }
+
+// Closes tells whether the message says that its connection ends after it.
+func (h *head) Closes() bool { return h.close }
+
+// Upgrades tells whether the message asks for another protocol, or switches to one.
+func (h *head) Upgrades() bool {
+	_, n := h.Get("Upgrade")
+	return h.upgrade && n > 0
+}
+
+// Named tells whether Connection names a field: it concerns this connection only.
+func (h *head) Named(name []byte) bool {
+	if h.connections == 0 {
+		return false
+	}
+	found := false
+	h.options(func(option []byte) bool {
+		found = len(option) == len(name) && bytes.EqualFold(option, name)
+		return !found
+	})
+	return found
+}
+
+// options calls f with each option of the Connection fields until it returns false.
+func (h *head) options(f func(option []byte) bool) {
+	for i := range h.fields {
+		at := &h.fields[i]
+		if !equalFold(h.text[at.name:at.colon], "connection") {
+			continue
+		}
+		for rest := h.text[at.value:at.end]; len(rest) > 0; {
+			option := rest
+			if i := bytes.IndexByte(rest, ','); i >= 0 {
+				option, rest = rest[:i], rest[i+1:]
+			} else {
+				rest = nil
+			}
+			if option = trim(option); len(option) > 0 && !f(option) {
+				return
+			}
+		}
+	}
+}
+
+// hop are the fields that concern one connection only, beside those that Connection names.
+var hop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// EndToEnd tells whether a field is to be passed on as it is: neither does it concern this
+// connection only, nor does it frame the body, which is framed anew.
+func (h *head) EndToEnd(name []byte) bool {
+	for _, n := range hop {
+		if len(n) == len(name) && equalFold(name, n) {
+			return false
+		}
+	}
+	return !h.Named(name)
+}
+
+// startLine is how a message judges its start line.
+type startLine interface {
+	begins(b []byte) error  // the bytes that there are of it: what is no message is not waited on
+	empty() error           // an empty line in its place
+	line(text []byte) error // the line
+	ended() error           // the head is whole
+}
+
+// lines takes the lines that have come whole. It returns the length of the head once that is
+// whole, else 0.
+func (h *head) lines(b []byte, m startLine) (int, error) {
+	h.text = b
+	for {
+		if !h.first && len(b) > h.start {
+			if err := m.begins(b[h.start:]); err != nil {
+				return 0, err
+			}
+		}
+		i := bytes.IndexByte(b[h.seen:], '\n')
+		if i < 0 {
+			h.seen = len(b)
+			if len(b) >= h.Limits.Head {
+				return 0, ErrHead
+			}
+			return 0, nil
+		}
+		i += h.seen
+		if i >= h.Limits.Head {
+			return 0, ErrHead
+		}
+		if i == h.start || b[i-1] != '\r' {
+			return 0, ErrBareLF
+		}
+		text := b[h.start : i-1]
+		from := h.start
+		h.start, h.seen = i+1, i+1
+		switch {
+		case !h.first:
+			if len(text) == 0 {
+				if err := m.empty(); err != nil {
+					return 0, err
+				}
+				continue
+			}
+			h.first = true
+			if err := m.line(text); err != nil {
+				return 0, err
+			}
+		case len(text) == 0:
+			h.text = b[: i+1 : i+1]
+			return i + 1, m.ended()
+		default:
+			if err := h.field(uint32(from), text); err != nil {
+				return 0, err
+			}
+		}
+	}
+}
+
+// field takes a field's line, which begins at an offset.
+func (h *head) field(at uint32, line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return ErrFold
+	}
+	if len(h.fields) >= h.Limits.Fields {
+		return ErrFields
+	}
+	colon := 0
+	for colon < len(line) && token[line[colon]] {
+		colon++
+	}
+	if colon == 0 || colon == len(line) || line[colon] != ':' {
+		return ErrName
+	}
+	from, to := colon+1, len(line)
+	for from < to && blank(line[from]) {
+		from++
+	}
+	for to > from && blank(line[to-1]) {
+		to--
+	}
+	for _, c := range line[from:to] {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return ErrControl
+		}
+	}
+	f := span{at, at + uint32(colon), at + uint32(from), at + uint32(to)}
+	h.fields = append(h.fields, f)
+	return h.frames(line[:colon], line[from:to], f)
+}
+
+// frames notes what a field says of the message's framing and its connection.
+func (h *head) frames(name, value []byte, f span) error {
+	switch len(name) {
+	case len("Connection"):
+		if equalFold(name, "connection") {
+			h.connections++
+		}
+	case len("Content-Length"):
+		if equalFold(name, "content-length") {
+			if h.lengths++; h.lengths > 1 {
+				return ErrLengths
+			}
+			n, ok := decimal(value)
+			if !ok {
+				return ErrLength
+			}
+			h.length = n
+		}
+	case len("Transfer-Encoding"):
+		if equalFold(name, "transfer-encoding") {
+			if h.codings++; h.codings > 1 {
+				return ErrCodings
+			}
+			h.coding = f
+		}
+	}
+	return nil
+}
+
+// framed checks what the fields say together.
+func (h *head) framed() error {
+	if h.codings > 0 && h.lengths > 0 {
+		return ErrCodingLength
+	}
+	if h.codings > 0 && !equalFold(h.text[h.coding.value:h.coding.end], "chunked") {
+		return ErrCoding
+	}
+	if h.connections == 0 {
+		return nil
+	}
+	var err error
+	h.options(func(o []byte) bool {
+		switch {
+		case equalFold(o, "close"):
+			h.close = true
+		case equalFold(o, "keep-alive"):
+			h.keep = true
+		case equalFold(o, "upgrade"):
+			h.upgrade = true
+		case equalFold(o, "host"), equalFold(o, "content-length"), equalFold(o, "transfer-encoding"):
+			err = ErrConnection
+		case !isToken(o):
+			err = ErrConnection
+		}
+		return err == nil
+	})
+	return err
+}
+
+// decimal reads 1*DIGIT that fits a body's length: no sign, no blank, no list.
+func decimal(b []byte) (int64, bool) {
+	if len(b) == 0 || len(b) > 18 {
+		return 0, false
+	}
+	var n int64
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(c-'0')
+	}
+	return n, true
+}
+
+// token are the bytes of a token, RFC 9110, 5.6.2.
+var token = func() (t [256]bool) {
+	for c := range 256 {
+		t[c] = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' ||
+			c < 0x80 && strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0
+	}
+	return t
+}()
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !token[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+func blank(c byte) bool { return c == ' ' || c == '\t' }
+
+func trim(b []byte) []byte {
+	for len(b) > 0 && blank(b[0]) {
+		b = b[1:]
+	}
+	for len(b) > 0 && blank(b[len(b)-1]) {
+		b = b[:len(b)-1]
+	}
+	return b
+}
+
+// Is tells whether a name is a field's, in whatever case.
+func Is(name []byte, field string) bool { return equalFold(name, field) }
+
+// equalFold tells whether a text is a name of ASCII, in whatever case.
+func equalFold(b []byte, name string) bool {
+	if len(b) != len(name) {
+		return false
+	}
+	for i := range b {
+		x, y := b[i], name[i]
+		if x == y {
+			continue
+		}
+		if x|0x20 != y|0x20 || x|0x20 < 'a' || x|0x20 > 'z' {
+			return false
+		}
+	}
+	return true
+}
+
+// String is for tests and logs.
+func (f Framing) String() string {
+	return [...]string{"none", "length", "chunked", "until close"}[f]
+}
+
+func (f Field) String() string { return fmt.Sprintf("%s: %q", f.Name, f.Value) }
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -3,92 +3,91 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"net/http/httputil"
-	"net/url"
 	"os"
-	"os/signal"
+	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"barleydrum.example/barleydrum/internal/discovery"
 	"barleydrum.example/barleydrum/internal/standin"
 )
 
-// ProxyCommand is the first argument with which the lab's program runs ReverseProxy.
-const ProxyCommand = "reverse-proxy"
+// Compared says how programs are compared.
+type Compared struct {
+	Callers, Nodes int
+	Body, Answer   int           // bytes of a request's body and of an answer's
+	Think          time.Duration // of a caller between an answer and its next request
+	Rounds         int
+	Open           int // connections at which memory is measured; 0 leaves that out
+}
 
-// ReverseProxy serves the standard library's reverse proxy over nodes in turn until SIGTERM:
-// the plainest program that does a part of barleydrum's work.
-func ReverseProxy(args []string) error {
-	f := flag.NewFlagSet(ProxyCommand, flag.ContinueOnError)
-	listen, nodes := f.String("listen", "", "address"), f.String("nodes", "", "addresses, by commas")
-	if err := f.Parse(args); err != nil {
-		return err
-	}
-	var targets []*url.URL
-	for _, addr := range strings.Split(*nodes, ",") {
-		targets = append(targets, &url.URL{Scheme: "http", Host: addr})
-	}
-	var turn atomic.Uint64
-	proxy := &httputil.ReverseProxy{
-		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(targets[turn.Add(1)%uint64(len(targets))]) },
-		Transport: &http.Transport{MaxIdleConnsPerHost: compareCallers, DisableCompression: true},
-	}
-	l, err := net.Listen("tcp", *listen)
-	if err != nil {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/healthz" {
-			proxy.ServeHTTP(w, r)
+// Check returns an error that names the first value that can't be used.
+func (c Compared) Check() error {
+	for _, v := range []struct {
+		name      string
+		n, lo, hi int
+	}{
+		{"callers", c.Callers, 1, 2000}, {"nodes", c.Nodes, 1, 500}, {"body", c.Body, 0, 60 << 10}, {"answer", c.Answer, 0, 60 << 10},
+		{"rounds", c.Rounds, 1, 100}, {"open", c.Open, 0, 4000},
+	} {
+		if v.n < v.lo || v.n > v.hi {
+			return fmt.Errorf("-%s: %d is not from %d to %d", v.name, v.n, v.lo, v.hi)
 		}
-	})}
-	go func() {
-		<-ctx.Done()
-		s.Close()
-	}()
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	}
+	if c.Think < 0 || c.Think > time.Minute {
+		return fmt.Errorf("-think: %v is not from 0s to 1m", c.Think)
 	}
 	return nil
 }
 
-const (
-	compareNodes   = 32 // with more nodes than callers one is always idle, and no order has to wait
-	compareCallers = 8
-	compareRounds  = 3
-)
-
 // side is one of the programs that are compared.
 type side struct {
 	name  string
-	begin func(round int) (*process, error)
-
-	answers       int
-	took          []time.Duration
-	elapsed, cpu  time.Duration
-	peakKB        int64
-	wrong         int
-	roundsAnswers []float64
+	begin func(round int) (*process, error) // nil for none: callers ask the nodes themselves
+
+	answers      int64
+	took         *hdrhistogram.Histogram // in microseconds
+	elapsed, cpu time.Duration
+	peakKB       int64
+	wrong        int64
+	rounds       []float64 // answers a second of each
+
+	baseKB, idleKB, openKB int64 // resident memory: at the start, with idle callers, with open calls
+	open                   int   // calls that were open then
 }
 
-// Compare measures the program beside the standard library's reverse proxy before the same
-// nodes in one run, each on one core: callers ask again as soon as they are answered, the sides take turns, and
-// each round is a process of its own. The nodes and the callers share the machine with them,
-// so only the relation of the figures says anything.
-func Compare(ctx context.Context, cfg Config) error {
-	l := &lab{cfg: cfg, calls: standin.NewCaller(1)}
+// most is the longest time that histograms tell apart from longer ones, in microseconds.
+const most = 60_000_000
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, most, 3) }
+
+// comparison is one run of Compare.
+type comparison struct {
+	lab
+	how   Compared
+	quick []*standin.Quick
+	addrs []string
+	ids   uint64
+}
+
+// Compare measures the program beside the standard library's reverse proxy, a proxy of
+// fasthttp, and no proxy at all, before the same nodes in one run, each on one core: callers
+// ask again once they are answered and have thought, the sides take turns, and each round is a
+// process of its own. The nodes and the callers share the machine with them, so only the
+// relation of the figures says anything.
+func Compare(ctx context.Context, cfg Config, how Compared) error {
+	if err := how.Check(); err != nil {
+		return err
+	}
+	l := &comparison{lab: lab{cfg: cfg, calls: standin.NewCaller(1)}, how: how}
 	defer l.close()
 	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
 		return err
@@ -103,52 +102,55 @@
 	if l.discovery[0], err = standin.NewDiscovery("127.0.0.1:0", false); err != nil {
 		return err
 	}
-	var addrs []string
-	for i := range compareNodes {
-		n, err := standin.NewNode(standin.NodeConfig{ID: fmt.Sprintf("n-%d", i), Zone: zones[0], Addr: "127.0.0.1:0", Slots: compareCallers})
+	for i := range how.Nodes {
+		q, err := standin.NewQuick(how.Answer)
 		if err != nil {
 			return err
 		}
-		l.nodes[0] = append(l.nodes[0], n)
-		l.discovery[0].Change(n.Entry("up"))
-		addrs = append(addrs, n.Entry("up").HostPort)
+		defer q.Close()
+		l.quick = append(l.quick, q)
+		l.addrs = append(l.addrs, q.Addr())
+		l.discovery[0].Change(discovery.Instance{ID: fmt.Sprintf("n-%d", i), HostPort: q.Addr(), Zone: zones[0], Lifecycle: "up"})
 	}
 	sides := []*side{
-		{name: "barleydrum, probing", begin: func(round int) (*process, error) { return l.compared("pull", round) }},
-		{name: "barleydrum, no reports", begin: func(round int) (*process, error) { return l.compared("silent", round) }},
-		{name: "httputil.ReverseProxy", begin: func(round int) (*process, error) {
-			at, err := freeAddresses(1)
-			if err != nil {
-				return nil, err
-			}
-			self, err := os.Executable()
-			if err != nil {
-				return nil, err
-			}
-			return begin(cfg.Dir, fmt.Sprintf("reverse-proxy-%d", round), at[0], self,
-				[]string{ProxyCommand, "-listen", at[0], "-nodes", strings.Join(addrs, ",")}, []string{"GOMAXPROCS=1"})
-		}},
+		{name: "no proxy"},
+		{name: "barleydrum, probing", begin: func(round int) (*process, error) { return l.sidecar("pull", round) }},
+		{name: "barleydrum, no reports", begin: func(round int) (*process, error) { return l.sidecar("silent", round) }},
+		{name: "httputil.ReverseProxy", begin: func(round int) (*process, error) { return l.rival(reverseProxyCommand, round) }},
+		{name: "fasthttp proxy", begin: func(round int) (*process, error) { return l.rival(fastProxyCommand, round) }},
 	}
-	length := cfg.Length / time.Duration(compareRounds*len(sides))
-	l.say("%d rounds of %v a side, %d callers, %d nodes that answer at once ...", compareRounds, length.Round(time.Millisecond), compareCallers, compareNodes)
-	for round := range compareRounds {
+	length := cfg.Length / time.Duration(how.Rounds*len(sides))
+	l.say("%d rounds of %v a side, %d callers, %d nodes that answer at once, %d and %d bytes of body, %v to think, %d cores ...",
+		how.Rounds, length.Round(time.Millisecond), how.Callers, how.Nodes, how.Body, how.Answer, how.Think, runtime.NumCPU())
+	for _, s := range sides {
+		s.took = newHistogram()
+	}
+	for round := range how.Rounds {
 		for _, s := range sides {
-			if err := s.round(ctx, round, length); err != nil {
+			if err := l.round(ctx, s, round, length); err != nil {
 				return err
 			}
 		}
 	}
-	return l.compareTable(sides)
+	for _, s := range sides {
+		if how.Open > 0 && s.begin != nil {
+			if err := l.memory(ctx, s); err != nil {
+				return err
+			}
+		}
+	}
+	return l.table(sides)
 }
 
-// compared starts the program for a comparison.
-func (l *lab) compared(reports string, round int) (*process, error) {
+// sidecar starts the program.
+func (l *comparison) sidecar(reports string, round int) (*process, error) {
 	name := fmt.Sprintf("%s-%d", reports, round)
 	at, err := freeAddresses(1)
 	if err != nil {
 		return nil, err
 	}
-	text, err := platform(name, at[0], 0, 0, 0, 1, l.discovery[0].Addr(), l.discovery[0].List(), reports)
+	sockets := max(3*(max(l.how.Callers, l.how.Open)+16)+64, sidecarSockets)
+	text, err := platform(name, at[0], 0, 0, 0, 1, sockets, l.discovery[0].Addr(), l.discovery[0].List(), reports)
 	if err != nil {
 		return nil, err
 	}
@@ -159,64 +161,197 @@
 		[]string{"PROXY_CONFIG=" + l.file(name+".json"), "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY="})
 }
 
-// round runs a side once.
-func (s *side) round(ctx context.Context, round int, length time.Duration) error {
+// rival starts one of the others.
+func (l *comparison) rival(command string, round int) (*process, error) {
+	at, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return begin(l.cfg.Dir, fmt.Sprintf("%s-%d", command, round), at[0], self,
+		[]string{command, "-listen", at[0], "-nodes", strings.Join(l.addrs, ",")}, []string{"GOMAXPROCS=1"})
+}
+
+// up starts a side and waits until it is ready.
+func (l *comparison) up(ctx context.Context, s *side, round int) (*process, error) {
 	p, err := s.begin(round)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	wait, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
 	if err := p.ready(wait); err != nil {
 		p.kill()
-		return err
+		return nil, err
+	}
+	return p, nil
+}
+
+// caller connects a caller of its own ids.
+func (l *comparison) caller(addr, path string) (*standin.QuickCaller, error) {
+	l.ids++
+	return standin.NewQuickCaller(addr, class, path, l.how.Body, deadlineMS*time.Millisecond, l.ids<<32)
+}
+
+// round runs a side once.
+func (l *comparison) round(ctx context.Context, s *side, round int, length time.Duration) error {
+	var p *process
+	if s.begin != nil {
+		var err error
+		if p, err = l.up(ctx, s, round); err != nil {
+			return err
+		}
+	}
+	callers := make([]*standin.QuickCaller, l.how.Callers)
+	for i := range callers {
+		addr := l.addrs[i%len(l.addrs)]
+		if p != nil {
+			addr = p.addr
+		}
+		var err error
+		if callers[i], err = l.caller(addr, "order"); err != nil {
+			return err
+		}
+		defer callers[i].Close()
 	}
-	caller := standin.NewCaller(compareCallers)
-	defer caller.Close()
+	took := make([]*hdrhistogram.Histogram, len(callers))
+	wrong := make([]int64, len(callers))
+	errs := make([]error, len(callers))
 	var wg sync.WaitGroup
 	began := time.Now()
-	for range compareCallers {
+	for i, c := range callers {
+		took[i] = newHistogram()
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for time.Since(began) < length && ctx.Err() == nil {
-				caller.Do(ctx, p.addr, standin.Order{
-					ID: newID(), Class: class, Key: newID(), Body: "500 litres", Timeout: deadlineMS * time.Millisecond,
-				}, spare)
+			for at := time.Now(); at.Sub(began) < length && ctx.Err() == nil; {
+				status, err := c.Do()
+				now := time.Now()
+				if err != nil {
+					errs[i] = err
+					return
+				}
+				if status != 200 {
+					wrong[i]++
+				} else if err := took[i].RecordValue(min(max(now.Sub(at).Microseconds(), 1), most)); err != nil {
+					errs[i] = err
+					return
+				}
+				if at = now; l.how.Think > 0 {
+					time.Sleep(l.how.Think)
+					at = time.Now()
+				}
 			}
 		}()
 	}
 	wg.Wait()
 	elapsed := time.Since(began)
-	if err := p.stop(); err != nil {
-		return err
+	if p != nil {
+		if err := p.stop(); err != nil {
+			return err
+		}
+		u := p.used()
+		s.cpu += u.cpu
+		s.peakKB = max(s.peakKB, u.peakKB)
 	}
-	counts, took, _ := caller.Counts()
-	u := p.used()
-	s.answers += len(took)
-	s.took = append(s.took, took...)
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("lab: %s: %w", s.name, err)
+	}
+	var answers int64
+	for i := range callers {
+		answers += took[i].TotalCount()
+		s.took.Merge(took[i])
+		s.wrong += wrong[i]
+	}
+	s.answers += answers
 	s.elapsed += elapsed
-	s.cpu += u.cpu
-	s.peakKB = max(s.peakKB, u.peakKB)
-	s.wrong += counts[standin.Refused] + counts[standin.Failed] + counts[standin.Lost]
-	s.roundsAnswers = append(s.roundsAnswers, float64(len(took))/elapsed.Seconds())
+	s.rounds = append(s.rounds, float64(answers)/elapsed.Seconds())
 	return ctx.Err()
 }
 
-func (l *lab) compareTable(sides []*side) error {
+// memory measures what a side holds with many callers that are idle, and with as many whose
+// requests are open.
+func (l *comparison) memory(ctx context.Context, s *side) error {
+	p, err := l.up(ctx, s, l.how.Rounds)
+	if err != nil {
+		return err
+	}
+	if s.baseKB, err = p.resident(); err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	answered := 0
+	ask := func(path string, open bool) error {
+		for range l.how.Open {
+			c, err := l.caller(p.addr, path)
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			if !open { // one after another: they are idle in the end
+				if _, err := c.Do(); err != nil {
+					return err
+				}
+				continue
+			}
+			go func() {
+				c.Do()
+				mu.Lock()
+				defer mu.Unlock()
+				answered++
+			}()
+		}
+		if !open {
+			s.idleKB, err = p.resident()
+			return err
+		}
+		time.Sleep(standin.QuickHold / 2)
+		mu.Lock()
+		s.open = l.how.Open - answered
+		mu.Unlock()
+		s.openKB, err = p.resident()
+		return err
+	}
+	if err := ask("order", false); err != nil {
+		return fmt.Errorf("lab: %s: idle callers: %w", s.name, err)
+	}
+	if err := ask("hold", true); err != nil {
+		return fmt.Errorf("lab: %s: open calls: %w", s.name, err)
+	}
+	return p.stop()
+}
+
+func (l *comparison) table(sides []*side) error {
 	w := tabwriter.NewWriter(l.cfg.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "\n\tanswers/s (least, most)\tCPU an answer\tp50\tp99\tp99.9\tpeak memory\tnot served")
 	for _, s := range sides {
-		slices.Sort(s.took)
-		slices.Sort(s.roundsAnswers)
-		fmt.Fprintf(w, "%s\t%.0f (%.0f, %.0f)\t%v\t%v\t%v\t%v\t%.1f MB\t%d\n", s.name,
-			float64(s.answers)/s.elapsed.Seconds(), s.roundsAnswers[0], s.roundsAnswers[len(s.roundsAnswers)-1],
-			(s.cpu / time.Duration(max(s.answers, 1))).Round(time.Microsecond),
-			quantile(s.took, 0.5), quantile(s.took, 0.99), quantile(s.took, 0.999), float64(s.peakKB)/1024, s.wrong)
+		slices.Sort(s.rounds)
+		at := func(q float64) time.Duration { return time.Duration(s.took.ValueAtQuantile(q)) * time.Microsecond }
+		cpu, peak := "", ""
+		if s.begin != nil {
+			cpu = (s.cpu / time.Duration(max(s.answers, 1))).Round(100 * time.Nanosecond).String()
+			peak = strconv.FormatFloat(float64(s.peakKB)/1024, 'f', 1, 64) + " MB"
+		}
+		fmt.Fprintf(w, "%s\t%.0f (%.0f, %.0f)\t%s\t%v\t%v\t%v\t%s\t%d\n", s.name, float64(s.answers)/s.elapsed.Seconds(),
+			s.rounds[0], s.rounds[len(s.rounds)-1], cpu, at(50), at(99), at(99.9), peak, s.wrong)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if l.how.Open > 0 {
+		fmt.Fprintf(w, "\nresident memory\tat the start\twith %d idle callers\twith as many calls\tof them open\n", l.how.Open)
+		for _, s := range sides {
+			if s.begin != nil {
+				fmt.Fprintf(w, "%s\t%.1f MB\t%.1f MB\t%.1f MB\t%d\n", s.name, float64(s.baseKB)/1024, float64(s.idleKB)/1024, float64(s.openKB)/1024, s.open)
+			}
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
 	_, err := io.WriteString(l.cfg.Out, "\nCPU and memory are whole processes', start and end included; nodes and callers share the machine.\n")
 	return err
 }
--- a/internal/lab/files.go
+++ b/internal/lab/files.go
@@ -48,7 +48,7 @@
 )
 
 // platform is what the platform tells a sidecar, as DEPLOY shows it.
-func platform(name, listen string, to, zone, number, of int, agent string, known discovery.List, reports string) ([]byte, error) {
+func platform(name, listen string, to, zone, number, of, sockets int, agent string, known discovery.List, reports string) ([]byte, error) {
 	const ms = 1_000_000
 	layers := make([]string, len(tiers))
 	for i, t := range tiers {
@@ -56,7 +56,7 @@
 	}
 	return json.MarshalIndent(map[string]any{
 		"name": name, "listen": listen, "discovery": agent, "seed": fmt.Sprintf("%x", 1+number+100*to),
-		"limits": map[string]any{"cores": 1, "memory_mb": sidecarMemory, "sockets": sidecarSockets},
+		"limits": map[string]any{"cores": 1, "memory_mb": sidecarMemory, "sockets": sockets},
 		"known":  known,
 		"settings": map[string]any{
 			"balancers": of, "me": number, "tier": to, "zone": zone, "zones": zones, "layers": layers,
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := platform(name, addrs[0], tier, zone, number, of, l.discovery[tier].Addr(), l.discovery[tier].List(), "pull")
+	text, err := platform(name, addrs[0], tier, zone, number, of, sidecarSockets, l.discovery[tier].Addr(), l.discovery[tier].List(), "pull")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -12,10 +12,10 @@
 	"barleydrum.example/barleydrum/internal/standin"
 )
 
-// TestMain lets the test binary stand in for the lab's own program as the reverse proxy.
+// TestMain lets the test binary stand in for the lab's own program as what it compares with.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == ProxyCommand {
-		if err := ReverseProxy(os.Args[2:]); err != nil {
+	if ran, err := Rival(os.Args[1:]); ran {
+		if err != nil {
 			os.Stderr.WriteString(err.Error())
 			os.Exit(1)
 		}
@@ -60,11 +60,12 @@
 	var out strings.Builder
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	err := Compare(ctx, Config{Dir: t.TempDir(), Program: program(t), Length: 900 * time.Millisecond, Out: &out})
+	err := Compare(ctx, Config{Dir: t.TempDir(), Program: program(t), Length: 900 * time.Millisecond, Out: &out},
+		Compared{Callers: 8, Nodes: 12, Body: 20, Answer: 20, Think: time.Millisecond, Rounds: 1, Open: 20})
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out.String())
 	}
-	for _, name := range []string{"barleydrum, probing", "barleydrum, no reports", "httputil.ReverseProxy"} {
+	for _, name := range []string{"no proxy", "barleydrum, probing", "barleydrum, no reports", "httputil.ReverseProxy", "fasthttp proxy"} {
 		_, row, ok := strings.Cut(out.String(), "\n"+name)
 		if row, _, _ = strings.Cut(row, "\n"); !ok || strings.HasPrefix(strings.TrimSpace(row), "0 ") {
 			t.Errorf("%s: %s", name, out.String())
@@ -72,6 +73,25 @@
 	}
 }
 
+// A comparison that can't be is refused by the name of what is wrong.
+func TestComparedIsChecked(t *testing.T) {
+	good := Compared{Callers: 1, Nodes: 1, Rounds: 1}
+	for name, spoil := range map[string]func(*Compared){
+		"-callers": func(c *Compared) { c.Callers = 0 }, "-nodes": func(c *Compared) { c.Nodes = 501 },
+		"-body": func(c *Compared) { c.Body = -1 }, "-answer": func(c *Compared) { c.Answer = 1 << 20 },
+		"-rounds": func(c *Compared) { c.Rounds = 0 }, "-think": func(c *Compared) { c.Think = -1 }, "-open": func(c *Compared) { c.Open = 5000 },
+	} {
+		bad := good
+		spoil(&bad)
+		if err := bad.Check(); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
 // The lab's own judgement sees what it is to see.
 func TestChecks(t *testing.T) {
 	n := func(served, lost int) map[standin.Verdict]int {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -110,6 +111,20 @@
 	return nil
 }
 
+// resident is the memory that the process has in use, in KB.
+func (p *process) resident() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("lab: %s: %w", p.name, err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			return strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+		}
+	}
+	return 0, fmt.Errorf("lab: %s: no VmRSS", p.name)
+}
+
 // used is what the process has used; it has ended.
 func (p *process) used() usage {
 	s := p.cmd.ProcessState
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -45,9 +45,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := NewServer(c, e)
+	s, err := NewServer(c, e)
+	if err != nil {
+		b.Fatal(err)
+	}
 	go s.Serve(front)
-	defer s.http.Close()
+	defer s.door.Close()
 	caller, err := net.Dial("tcp", front.Addr().String())
 	if err != nil {
 		b.Fatal(err)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -91,7 +91,7 @@
 				t.Errorf("asks %v: first call with %q, want the whole list", asks, got)
 			}
 			d.engine.mu.Lock()
-			got := d.engine.endpoints[d.engine.names.id("s-0")].addr
+			got := d.engine.endpoints[d.engine.names.id("s-0")].route.Addr
 			d.engine.mu.Unlock()
 			if want := fmt.Sprint("127.0.0.1:", 3+i); got != want {
 				t.Errorf("asks %v: endpoint at %s, want %s", asks, got, want)
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -2,11 +2,6 @@
 
 import (
 	"cmp"
-	"context"
-	"maps"
-	"net/http"
-	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +9,7 @@
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/upstream"
 )
 
 // Engine owns the balancer. Every event goes to it under one lock, and its
@@ -21,7 +17,7 @@
 type Engine struct {
 	origin     time.Time // of the module's clock, which read epoch then
 	epoch      time.Duration
-	pool       *pool
+	pool       *upstream.Pool
 	cfg        *config.Config
 	settings   *live
 	subscribed chan struct{} // the module wants a watch
@@ -34,53 +30,21 @@
 	calls     map[balance.RequestID]*call
 	last      balance.RequestID
 	actions   []balance.Action
+	timers    timers
+	clock     *time.Timer
+	armed     time.Duration // what the clock is set for, 0 for nothing
 }
 
 // endpoint is where an endpoint is reached.
 type endpoint struct {
-	*route
+	route   *upstream.Route
 	name    string
 	started time.Duration
+	closed  bool // its route keeps no connections
 	left    bool // it drains or is gone
 	gone    bool
 	uses    int // attempts and probes that are out
-}
-
-// call is a caller's request, until its last attempt has ended.
-type call struct {
-	balance.Request
-	method   string
-	url      *url.URL
-	host     string
-	header   http.Header
-	body     []byte
-	done     chan final // takes the final answer
-	answered bool
-	attempts []*attempt
-	out      int
-}
-
-// final is a final answer.
-type final struct {
-	served     bool
-	refused    bool
-	retryAfter time.Duration
-	answer
-}
-
-// attempt is one sending of a call.
-type attempt struct {
-	exchange
-	cancel   context.CancelCauseFunc
-	id       balance.EndpointID
-	endpoint *endpoint
-	began    time.Time
-}
-
-// end withdraws an attempt. If it has not begun to go out, it never will.
-func (a *attempt) end(cause error) {
-	a.bar()
-	a.cancel(cause)
+	out     []*attempt
 }
 
 // NewEngine returns an Engine that knows the list in its configuration.
@@ -89,8 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
+	settings := newLive(c.Settings)
 	e := &Engine{
-		origin: time.Now(), pool: newPool(c), cfg: c,
+		origin: time.Now(), pool: newPool(c, settings), cfg: c, settings: settings,
 		subscribed: make(chan struct{}, 1),
 		balancer:   b, names: newNames(c.Zones),
 		endpoints: make(map[balance.EndpointID]*endpoint),
@@ -99,11 +64,25 @@
 	// The module's clock goes on from Unix time without steps, so that the time an
 	// endpoint started needs no conversion and is the same in every list.
 	e.epoch = time.Duration(e.origin.UnixNano())
-	e.settings = e.pool.settings
 	e.update(balance.ListRemember, &c.Known)
 	return e, nil
 }
 
+// newPool returns the pool of a sidecar.
+func newPool(c *config.Config, settings *live) *upstream.Pool {
+	keep := c.KeepAlive()
+	return upstream.NewPool(upstream.Config{
+		Connections: c.EndpointConnections(), ConnectTime: c.ConnectTime(),
+		// Idle connections must close here first: a request written as the endpoint closes is
+		// reset, and may have run for all that is known.
+		KeepAlive: keep - keep/10,
+		Limits: func() upstream.Limits {
+			most := settings.Load().Endpoints
+			return upstream.Limits{Head: int(most.MaxAnswerHead), Body: int64(most.MaxAnswer)}
+		},
+	})
+}
+
 // now is the time on the module's clock.
 func (e *Engine) now() time.Duration { return e.epoch + time.Since(e.origin) }
 
@@ -116,6 +95,7 @@
 	for i := range e.actions {
 		e.act(&e.actions[i])
 	}
+	e.arm()
 }
 
 func (e *Engine) act(a *balance.Action) {
@@ -124,20 +104,19 @@
 		e.send(a)
 	case balance.Cancel:
 		if c := e.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
-			c.attempts[a.Attempt].end(errCanceled)
+			c.attempts[a.Attempt].End(upstream.ErrCanceled)
 		}
 	case balance.Shed:
 		e.answer(e.calls[a.Request], final{refused: true, retryAfter: a.Delay})
 	case balance.Fail:
 		e.answer(e.calls[a.Request], final{})
 	case balance.SetTimer:
-		timer := a.Timer
-		time.AfterFunc(a.Delay, func() { e.fired(timer) })
+		e.timers.push(due{e.now() + a.Delay, a.Timer})
 	case balance.Probe:
 		e.probe(a.Endpoint)
 	case balance.Release:
 		if to := e.endpoints[a.Endpoint]; to != nil {
-			e.pool.release(to.route, !to.left)
+			e.pool.Release(to.route, !to.left)
 		}
 	case balance.Subscribe:
 		select {
@@ -147,112 +126,6 @@
 	}
 }
 
-// answer gives a call its final answer, unless it has one.
-func (e *Engine) answer(c *call, f final) {
-	if c == nil || c.answered {
-		return
-	}
-	c.answered = true
-	c.done <- f
-	e.forget(c)
-}
-
-// forget drops a call that nothing more can come of.
-func (e *Engine) forget(c *call) {
-	if c.answered && c.out == 0 {
-		delete(e.calls, c.ID)
-	}
-}
-
-// take hands a call to the balancer.
-func (e *Engine) take(c *call) {
-	e.mu.Lock()
-	defer e.mu.Unlock() // net/http outlives a panic, which must not leave the lock taken
-	e.last++
-	c.ID = e.last
-	c.done = make(chan final, 1)
-	e.calls[c.ID] = c
-	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
-		return e.balancer.Request(now, c.Request, acts)
-	})
-}
-
-// serve hands a call to the balancer and waits for its final answer. If ctx ends
-// first, the caller has gone or its time is up: the call has failed.
-func (e *Engine) serve(ctx context.Context, c *call) final {
-	e.take(c)
-	select {
-	case f := <-c.done:
-		return f
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !c.answered {
-		e.answer(c, final{})
-		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
-			return e.balancer.Abandoned(now, c.ID, acts)
-		})
-	}
-	return <-c.done
-}
-
-// send starts an attempt.
-func (e *Engine) send(a *balance.Action) {
-	c, to := e.calls[a.Request], e.endpoints[a.Endpoint]
-	if c == nil || to == nil {
-		return
-	}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	n := len(c.attempts)
-	x := &attempt{exchange: exchange{ctx: ctx}, id: a.Endpoint, endpoint: to, began: time.Now(), cancel: cancel}
-	until := e.at(a.Until)
-	c.attempts = append(c.attempts, x)
-	c.out++
-	to.uses++
-	u := *c.url
-	u.Scheme, u.Host = "http", to.addr
-	req := &http.Request{Method: c.method, URL: &u, Host: c.host, Header: maps.Clone(c.header)}
-	if c.answered || to.left {
-		x.end(errLeft)
-	}
-	way := to.route
-	go func() {
-		defer cancel(nil)
-		defer time.AfterFunc(time.Until(until), func() { cancel(errDeadline) }).Stop()
-		req.Header.Set("X-Timeout", formatTimeout(time.Until(until)))
-		e.ended(c, n, x.do(e.pool, way, req, c.body))
-	}()
-}
-
-// ended takes what came of an attempt. The first OK is the call's answer.
-func (e *Engine) ended(c *call, n int, a answer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	x := c.attempts[n]
-	c.out--
-	if a.result == balance.OK {
-		e.answer(c, final{served: true, answer: a})
-	}
-	o := balance.Outcome{
-		Request: c.ID, Attempt: n, Endpoint: x.id, Result: a.result, Closed: c.answered,
-		Elapsed: time.Since(x.began), Load: a.load,
-	}
-	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
-		return e.balancer.Ended(now, o, acts)
-	})
-	e.forget(c)
-	e.unuse(x.id, x.endpoint)
-}
-
-func (e *Engine) fired(t balance.Timer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
-		return e.balancer.Fired(now, t, acts)
-	})
-}
-
 // probe starts a probe. Nothing new goes to an endpoint that has left, not even that.
 func (e *Engine) probe(id balance.EndpointID) {
 	to := e.endpoints[id]
@@ -262,14 +135,15 @@
 	to.uses++
 	way, left := to.route, to.left
 	go func() {
-		a := answer{result: balance.NotSent}
+		result, load := balance.NotSent, (*balance.Load)(nil)
 		if !left {
-			a = e.pool.probe(way, e.cfg.ProbePath(e.settings.Load()))
+			set := e.settings.Load()
+			result, load = e.pool.Probe(way, e.cfg.ProbePath(set), set.Probe.Time)
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
-			return e.balancer.Probed(now, id, a.result, a.load, acts)
+			return e.balancer.Probed(now, id, result, load, acts)
 		})
 		e.unuse(id, to)
 	}()
@@ -315,15 +189,15 @@
 		list[i] = in.Endpoint
 		to := e.endpoints[in.ID]
 		if to == nil {
-			to = &endpoint{name: in.name, route: &route{addr: in.addr}, started: in.Started}
+			to = &endpoint{name: in.name, route: &upstream.Route{Addr: in.addr}, started: in.Started}
 			e.endpoints[in.ID] = to
 		}
 		// Connections to the old address or process are of no more use; one to a machine
 		// that vanished may stay open and silent, and the next request on it would be lost.
-		addr := cmp.Or(in.addr, to.addr)
-		if addr != to.addr || in.Started != to.started || to.closed && in.State == balance.InService {
-			e.pool.release(to.route, false)
-			to.route, to.started = &route{addr: addr}, in.Started
+		addr := cmp.Or(in.addr, to.route.Addr)
+		if addr != to.route.Addr || in.Started != to.started || to.closed && in.State == balance.InService {
+			e.pool.Release(to.route, false)
+			to.route, to.started, to.closed = &upstream.Route{Addr: addr}, in.Started, false
 		}
 		to.left, to.gone = in.State != balance.InService, in.State == balance.Gone
 	}
@@ -333,22 +207,28 @@
 	if len(e.endpoints) > 0 {
 		e.ready.Store(true)
 	}
-	// What waits for a connection to an endpoint that has left must not go out once it has one.
-	for _, c := range e.calls {
-		for _, x := range c.attempts {
-			if x.endpoint.left && x.bar() {
-				x.cancel(errLeft)
-			}
+	if kind == balance.ListChanges {
+		for _, in := range entries {
+			e.see(in.ID)
 		}
+		return
 	}
-	for id, to := range e.endpoints {
-		if to.left {
-			e.pool.release(to.route, false)
-			e.drop(id, to)
-		}
+	for id := range e.endpoints {
+		e.see(id)
 	}
 }
 
-func formatTimeout(d time.Duration) string {
-	return strconv.FormatInt(max(d.Microseconds(), 1), 10) + "u"
+// see carries out what follows for an endpoint from a list, if it has left. What waits for a
+// connection to it must not go out once it has one.
+func (e *Engine) see(id balance.EndpointID) {
+	to := e.endpoints[id]
+	if to == nil || !to.left {
+		return
+	}
+	for _, x := range to.out {
+		x.Leave()
+	}
+	e.pool.Release(to.route, false)
+	to.closed = true
+	e.drop(id, to)
 }
--- a/internal/sidecar/live_test.go
+++ b/internal/sidecar/live_test.go
@@ -15,6 +15,7 @@
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
 	"barleydrum.example/barleydrum/internal/standin"
+	"barleydrum.example/barleydrum/internal/upstream"
 )
 
 // settings reads an operators' file; the part that all need is added.
@@ -63,15 +64,18 @@
 		io.WriteString(w, "TEXT inflight=3, queue=0, util=0.5")
 	})
 	c := withSettings(t, discovery.List{}, "[probe]\npath = \"/how-busy\"\ntime = \"10s\"\n")
-	p := newPool(c)
-	to := &route{addr: addr}
-	defer p.release(to, false)
-	if a := p.probe(to, c.ProbePath(p.settings.Load())); <-paths != "/how-busy" || a.result != balance.OK || a.load.InFlight != 3 {
-		t.Errorf("%+v", a)
+	set := newLive(c.Settings)
+	p, to := newPool(c, set), &upstream.Route{Addr: addr}
+	defer p.Release(to, false)
+	probe := func() (balance.Result, *balance.Load) {
+		return p.Probe(to, c.ProbePath(set.Load()), set.Load().Probe.Time)
 	}
-	p.settings.Store(settings(t, "[probe]\npath = \"/late\"\ntime = \"5ms\"\n"))
-	if a := p.probe(to, c.ProbePath(p.settings.Load())); <-paths != "/late" || a.result != balance.Timeout {
-		t.Errorf("%+v", a)
+	if got, load := probe(); <-paths != "/how-busy" || got != balance.OK || load.InFlight != 3 {
+		t.Errorf("%d %+v", got, load)
+	}
+	set.Store(settings(t, "[probe]\npath = \"/late\"\ntime = \"5ms\"\n"))
+	if got, _ := probe(); <-paths != "/late" || got != balance.Timeout {
+		t.Errorf("%d", got)
 	}
 	if got := c.ProbePath(config.Default()); got != "/load" {
 		t.Errorf("by default %s", got)
@@ -146,7 +150,7 @@
 			t.Errorf("%s: %s", addr, resp.Status)
 		}
 	}
-	if got := cap(p.server.places); got != 4 {
+	if got := c.CallerConnections(); got != 4 {
 		t.Errorf("%d places", got)
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -4,175 +4,72 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
-	"maps"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/door"
+	"barleydrum.example/barleydrum/internal/http1"
 )
 
 // maxID is the most bytes of a request's id.
 const maxID = 256
 
-// Server takes the callers' requests.
+// Server takes the callers' requests: what they are about, and in what words they are
+// answered. Its connections are the door's.
 type Server struct {
 	cfg      *config.Config
 	engine   *Engine
-	http     http.Server
-	places   chan struct{} // one for each connection that callers may have open
+	door     *door.Door
 	settings *live
-	draining atomic.Bool
+	calls    calls
 
-	mu      sync.Mutex
-	callers map[net.Conn]*caller
-	looking bool            // a timer will make room
-	ids     map[string]bool // of the requests that are open
+	mu  sync.Mutex
+	ids map[string]struct{} // of the requests that are open
 }
 
-// caller is a caller's connection.
-type caller struct {
-	stage stage
-	since time.Time
-}
-
-// stage is how far a caller's connection has come. The lower, the sooner it gives way.
-type stage int
-
-const (
-	silent  stage = iota // nothing has come on it yet
-	idle                 // between two requests
-	partial              // part of a request has come, or it is to be closed
-	taken                // a request is being answered
-)
-
 // NewServer returns a Server that hands its requests to an engine.
-func NewServer(c *config.Config, e *Engine) *Server {
-	s := &Server{cfg: c, engine: e, places: make(chan struct{}, c.CallerConnections()), settings: e.settings,
-		callers: make(map[net.Conn]*caller), ids: make(map[string]bool)}
-	s.http = http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			switch err := checkFraming(r); {
-			case err != nil:
-				reject(w, http.StatusLengthRequired, err)
-			case r.URL.Path == "/healthz":
-				s.health(w, r)
-			default:
-				s.call(w, r)
-			}
-		}),
-		ReadHeaderTimeout: c.Settings.Callers.HeadTime,
-		IdleTimeout:       c.Settings.Callers.IdleTime,
-		MaxHeaderBytes:    int(c.Settings.Callers.MaxHead),
-		ConnState:         s.connState,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+func NewServer(c *config.Config, e *Engine) (*Server, error) {
+	s := &Server{cfg: c, engine: e, settings: e.settings, ids: make(map[string]struct{})}
+	var err error
+	s.door, err = door.New(door.Config{
+		Handler: front{s}, Places: c.CallerConnections(), MaxHead: int(c.Settings.Callers.MaxHead),
+		Times: func() door.Times {
+			k := &s.settings.Load().Callers
+			return door.Times{Head: k.HeadTime, Body: k.BodyTime, Idle: k.IdleTime, Write: k.WriteTime, Grace: k.EvictionGrace}
 		},
-	}
-	return s
+	})
+	return s, err
 }
 
 // Serve serves one listener until Shutdown. Several may be served together.
-func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(newDoor(l, s.places)); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
-// connState follows a connection, and keeps a place free for new ones: silent and idle
-// callers would fill all, and a request on one that waits to be accepted would get no answer.
-func (s *Server) connState(c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.reached(c, silent)
-	case http.StateActive:
-		s.reached(c, partial)
-	case http.StateIdle:
-		s.reached(c, idle)
-	default:
-		s.mu.Lock()
-		delete(s.callers, c)
-		s.mu.Unlock()
-	}
-}
-
-// reached notes the stage of a connection.
-func (s *Server) reached(c net.Conn, at stage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.callers[c] == nil {
-		if at != silent {
-			return // it has been closed to make room
-		}
-		s.callers[c] = new(caller)
-	}
-	*s.callers[c] = caller{at, time.Now()}
-	s.makeRoom(c)
-}
+func (s *Server) Serve(l net.Listener) error { return s.door.Serve(l) }
 
-// makeRoom closes connections until a place is free. If none may be closed yet, it looks
-// again later.
-func (s *Server) makeRoom(newest net.Conn) {
-	for len(s.callers) >= cap(s.places) {
-		if s.evict(newest) {
-			continue
-		}
-		if !s.looking {
-			s.looking = true
-			time.AfterFunc(s.settings.Load().Callers.EvictionGrace, func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.looking = false
-				s.makeRoom(nil)
-			})
-		}
-		return
-	}
-}
-
-// evict closes the connection that is the least loss and has been for longest, other than
-// the one that has just come, and tells whether there was one.
-func (s *Server) evict(newest net.Conn) bool {
-	var out net.Conn
-	grace := s.settings.Load().Callers.EvictionGrace
-	for c, k := range s.callers {
-		switch {
-		case c == newest && k.stage != idle, k.stage == taken:
-		case k.stage == partial && time.Since(k.since) < grace:
-		case k.stage == silent && !quiet(c): // a request is about to be read
-		case out == nil, k.stage < s.callers[out].stage,
-			k.stage == s.callers[out].stage && k.since.Before(s.callers[out].since):
-			out = c
-		}
-	}
-	if out == nil {
-		return false
+// Shutdown steers callers off, goes on accepting for a while, and returns when all
+// that was taken has its answer.
+func (s *Server) Shutdown() {
+	end := s.settings.Load().Shutdown
+	ctx, cancel := context.WithTimeout(context.Background(), end.Linger+s.cfg.LongestDeadline()+end.Spare)
+	defer cancel()
+	if left := s.door.Shutdown(ctx, end.Linger); left > 0 { // a caller that sent no whole request is owed nothing
+		slog.Warn("shutdown: connections left", "connections", left)
 	}
-	delete(s.callers, out)
-	out.Close()
-	return true
 }
 
 // open notes the id of a request, unless one that is open has it.
 func (s *Server) open(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ids[id] {
+	if _, ok := s.ids[id]; ok {
 		return false
 	}
-	s.ids[id] = true
+	s.ids[id] = struct{}{}
 	return true
 }
 
@@ -182,192 +79,203 @@
 	delete(s.ids, id)
 }
 
-// Shutdown steers callers off, goes on accepting for a while, and returns when all
-// that was taken has its answer.
-func (s *Server) Shutdown() {
-	s.draining.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
-	end := s.settings.Load().Shutdown
-	time.Sleep(end.Linger)
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.LongestDeadline()+end.Spare)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil { // a caller that sent no whole request is owed nothing
-		slog.Warn("shutdown: connections left", "err", err)
-	}
-}
+func health(r *http1.Request) bool { return string(r.Path()) == "/healthz" }
 
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() || !s.engine.ready.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// front is the Server as the door's handler.
+type front struct{ *Server }
+
+// Head judges a request by its head, see door.Handler.
+func (s front) Head(x *door.Exchange) *door.Refusal {
+	r := x.Head()
+	if r.Framing() == http1.Chunked {
+		return &door.Refusal{Status: http.StatusLengthRequired, Why: "Transfer-Encoding: not taken, send a Content-Length"}
+	}
+	if n := r.ContentLength(); n > int64(s.settings.Load().Callers.MaxBody) {
+		return &door.Refusal{Status: http.StatusRequestEntityTooLarge, Why: fmt.Sprintf("body: %d bytes are too many", n)}
 	}
-	w.WriteHeader(http.StatusOK)
+	if health(r) {
+		return nil
+	}
+	c := s.calls.get()
+	if err := s.parse(c, r); err != nil {
+		s.calls.put(c)
+		return &door.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
+	}
+	x.State = c
+	return nil
 }
 
-// call serves one request.
-func (s *Server) call(w http.ResponseWriter, r *http.Request) {
-	came, set := time.Now(), s.settings.Load().Callers
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(came.Add(set.BodyTime)) // also for what is left of a body that is turned away
-	control.SetWriteDeadline(came.Add(set.WriteTime))
-	if r.ContentLength > int64(set.MaxBody) {
-		reject(w, http.StatusRequestEntityTooLarge, fmt.Errorf("body: %d bytes are too many", r.ContentLength))
-		return
-	}
-	c, err := s.parse(r)
-	if err != nil {
-		reject(w, http.StatusBadRequest, err)
+// Serve answers a request, see door.Handler.
+func (s front) Serve(x *door.Exchange) {
+	c, ok := x.State.(*call)
+	if !ok {
+		status := http.StatusOK
+		if s.door.Draining() || !s.engine.ready.Load() {
+			status = http.StatusServiceUnavailable
+		}
+		x.Answer(status, "", nil, nil)
 		return
 	}
-	c.body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, c.body); err != nil {
-		reject(w, http.StatusBadRequest, fmt.Errorf("body: %w", err))
+	if !s.open(c.id) {
+		s.calls.put(c)
+		x.Close = true
+		x.Answer(http.StatusConflict, plain, nil, []byte("X-Request-ID: a request with it is open\n"))
 		return
 	}
-	id := r.Header.Get("X-Request-ID")
-	if !s.open(id) {
-		reject(w, http.StatusConflict, errors.New("X-Request-ID: a request with it is open"))
-		return
+	defer s.closed(c.id)
+	c.engine, c.head, c.body = s.engine, x.Head(), x.Body
+	margin := min(s.settings.Load().Callers.AnswerMargin, c.Budget/10)
+	c.until = x.Came().Add(c.Budget - margin)
+	c.Budget -= 2*margin + time.Since(x.Came())
+	here := x.Watch(c)
+	f, spent := s.engine.serve(c, !here)
+	x.Unwatch()
+	s.word(x, f)
+	if f.served != nil {
+		f.served.Done()
 	}
-	defer s.closed(id)
-	if conn, ok := r.Context().Value(connKey{}).(*guest); ok {
-		s.reached(conn, taken)
-		came = conn.came()
+	if spent {
+		s.calls.put(c)
 	}
-	control.SetReadDeadline(time.Time{})
-
-	margin := min(set.AnswerMargin, c.Budget/10)
-	ctx, cancel := context.WithDeadline(r.Context(), came.Add(c.Budget-margin))
-	defer cancel()
-	c.Budget -= 2*margin + time.Since(came)
-	f := s.engine.serve(ctx, c)
-	control.SetWriteDeadline(time.Now().Add(set.WriteTime))
-	writeFinal(w, f)
 }
 
-// checkFraming returns an error for a request whose end can be read in two ways: its body
-// may hide another request. net/http drops a Content-Length beside a Transfer-Encoding, and
-// a Transfer-Encoding of HTTP/1.0, before they can be compared; callers send lengths.
-func checkFraming(r *http.Request) error {
-	if len(r.TransferEncoding) > 0 {
-		return errors.New("Transfer-Encoding: not taken, send a Content-Length")
-	}
-	if !r.ProtoAtLeast(1, 1) {
-		return fmt.Errorf("%s: not taken, send HTTP/1.1", r.Proto)
-	}
-	return nil
-}
+const plain = "text/plain; charset=utf-8"
 
-// reject answers a request that can't be used. What follows it on its connection can't be
-// trusted, so that is closed.
-func reject(w http.ResponseWriter, status int, err error) {
-	w.Header().Set("Connection", "close")
-	http.Error(w, err.Error(), status)
-}
+var refused, failed = []byte("refused\n"), []byte("failed\n")
 
-// writeFinal writes a final answer. Only a refusal is worded 503: it tells the
-// caller that trying again does no harm.
-func writeFinal(w http.ResponseWriter, f final) {
+// word words a final answer. Only a refusal is worded 503: it tells the caller that trying
+// again does no harm.
+func (s *Server) word(x *door.Exchange, f final) {
 	switch {
-	case f.served:
-		if f.contentType != "" {
-			w.Header().Set("Content-Type", f.contentType)
-		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
-		w.Write(f.body)
+	case f.served != nil:
+		head := f.served.Head()
+		x.Answer(http.StatusOK, "", func(b []byte) []byte {
+			for i := range head.Len() {
+				if f := head.Field(i); passedOn(head, f.Name) {
+					b = http1.AppendParsed(b, f)
+				}
+			}
+			return b
+		}, f.served.Body())
 	case f.refused:
-		if f.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
-		}
-		http.Error(w, "refused", http.StatusServiceUnavailable)
+		x.Answer(http.StatusServiceUnavailable, plain, func(b []byte) []byte {
+			if f.retryAfter > 0 {
+				b = append(b, "Retry-After: "...)
+				b = strconv.AppendFloat(b, f.retryAfter.Seconds(), 'f', 3, 64)
+				b = append(b, "\r\n"...)
+			}
+			return b
+		}, refused)
 	default:
-		http.Error(w, "failed", http.StatusBadGateway)
+		x.Answer(http.StatusBadGateway, plain, nil, failed)
 	}
 }
 
-// hopHeaders concern one connection only, and are not sent on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+// passedOn tells whether a field of an endpoint's answer goes to the caller: Date is the
+// door's, and a load report is for this sidecar.
+func passedOn(head *http1.Answer, name []byte) bool {
+	return !http1.Is(name, "Date") && !http1.Is(name, "X-Server-Load") && head.EndToEnd(name)
 }
 
-// ownHeaders are those of the protocol, in canonical form.
-var ownHeaders = []string{
-	"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "X-Retried", "X-Cost", "X-Attrs", "Idempotency-Key",
+// ownFields are those of the protocol that may stand in a request once.
+var ownFields = [...]string{
+	"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "X-Retried", "X-Cost", "X-Attrs", "Idempotency-Key",
 }
 
-// parse reads a request's header. An error names the field at fault.
-func (s *Server) parse(r *http.Request) (*call, error) {
-	c := &call{method: r.Method, url: r.URL, host: r.Host, header: maps.Clone(r.Header)}
-	for _, named := range r.Header.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			c.header.Del(strings.TrimSpace(name))
-		}
+// parse reads a request's head. An error names the field at fault.
+func (s *Server) parse(c *call, r *http1.Request) error {
+	if m := string(r.Method()); m != http.MethodGet && m != http.MethodPost {
+		return fmt.Errorf("method %.20q: neither GET nor POST", m)
 	}
-	for _, name := range hopHeaders {
-		c.header.Del(name)
-	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, fmt.Errorf("method %.20q: neither GET nor POST", r.Method)
-	}
-	for _, name := range ownHeaders {
-		if len(r.Header[name]) > 1 { // an endpoint may read another than the first
-			return nil, fmt.Errorf("%s: given more than once", name)
+	var own [len(ownFields)][]byte
+	for i, name := range ownFields {
+		v, n := r.Get(name)
+		if n > 1 { // an endpoint may read another than the first
+			return fmt.Errorf("%s: given more than once", name)
+		}
+		if n > 0 && r.Named([]byte(name)) { // and would not get it
+			return fmt.Errorf("%s: named by Connection", name)
 		}
+		own[i] = v
 	}
-	if id := r.Header.Get("X-Request-ID"); id == "" || len(id) > maxID {
-		return nil, errors.New("X-Request-ID: missing or too long")
+	id, class, tenant, timeout, retried, cost, key := own[0], own[1], own[2], own[3], own[4], own[5], own[7]
+	if len(id) == 0 || len(id) > maxID {
+		return errors.New("X-Request-ID: missing or too long")
 	}
 	var ok bool
-	class := r.Header.Get("X-Priority-Class")
-	if c.Class, ok = s.cfg.Classes[class]; !ok {
-		return nil, fmt.Errorf("X-Priority-Class: unknown class %.40q", class)
+	if c.Class, ok = s.cfg.Classes[string(class)]; !ok {
+		return fmt.Errorf("X-Priority-Class: unknown class %.40q", class)
 	}
+	k := &s.cfg.Module.Classes[c.Class]
 	// A keyed request without its key would be sent again to endpoints that can't tell it for a repeat.
-	if s.cfg.Module.Classes[c.Class].Semantics == balance.Keyed && r.Header.Get("Idempotency-Key") == "" {
-		return nil, fmt.Errorf("Idempotency-Key: missing for class %q", class)
+	if k.Semantics == balance.Keyed && len(key) == 0 {
+		return fmt.Errorf("Idempotency-Key: missing for class %q", class)
 	}
-	if tenant := r.Header.Get("X-Tenant-Id"); tenant != "" && len(s.cfg.Tenants) > 0 {
-		if c.Tenant, ok = s.cfg.Tenants[tenant]; !ok {
-			return nil, fmt.Errorf("X-Tenant-Id: unknown tenant %.40q", tenant)
+	if len(tenant) > 0 && len(s.cfg.Tenants) > 0 {
+		if c.Tenant, ok = s.cfg.Tenants[string(tenant)]; !ok {
+			return fmt.Errorf("X-Tenant-Id: unknown tenant %.40q", tenant)
 		}
 	}
-	c.Budget = s.cfg.Module.Classes[c.Class].Deadline
-	if text := r.Header.Get("X-Timeout"); text != "" {
-		budget, ok := parseTimeout(text)
+	c.Budget = k.Deadline
+	if len(timeout) > 0 {
+		budget, ok := parseTimeout(timeout)
 		if !ok {
-			return nil, fmt.Errorf("X-Timeout: bad value %.40q", text)
+			return fmt.Errorf("X-Timeout: bad value %.40q", timeout)
 		}
 		c.Budget = min(budget, c.Budget) // no client of the class waits for longer
 	}
-	if text := r.Header.Get("X-Cost"); text != "" {
-		us, err := strconv.ParseFloat(text, 64)
+	if len(cost) > 0 {
+		us, err := strconv.ParseFloat(string(cost), 64)
 		if err != nil || !(us >= 0 && us < maxTimeout.Seconds()*1e6) {
-			return nil, fmt.Errorf("X-Cost: bad value %.40q", text)
+			return fmt.Errorf("X-Cost: bad value %.40q", cost)
 		}
 		c.Work = time.Duration(us * float64(time.Microsecond))
 	}
-	c.Repeat = r.Header.Get("X-Retried") == "1"
-	return c, nil
+	c.Repeat = string(retried) == "1"
+	c.id = string(id)
+	return nil
 }
 
 // maxTimeout bounds what a caller may ask for.
 const maxTimeout = time.Hour
 
 // parseTimeout reads a number with the unit m (milliseconds) or u (microseconds).
-func parseTimeout(text string) (time.Duration, bool) {
+func parseTimeout(text []byte) (time.Duration, bool) {
+	last := len(text) - 1
+	if last < 0 {
+		return 0, false
+	}
 	unit := time.Millisecond
-	number, ok := strings.CutSuffix(text, "m")
-	if !ok {
+	switch text[last] {
+	case 'm':
+	case 'u':
 		unit = time.Microsecond
-		if number, ok = strings.CutSuffix(text, "u"); !ok {
-			return 0, false
-		}
+	default:
+		return 0, false
 	}
-	v, err := strconv.ParseFloat(number, 64)
+	v, err := strconv.ParseFloat(string(text[:last]), 64)
 	d := v * float64(unit)
 	if err != nil || math.IsNaN(d) || d < 1 || d > float64(maxTimeout) {
 		return 0, false
 	}
 	return time.Duration(d), true
 }
+
+// appendRequest appends a call's request as it goes to an endpoint, which is waited for so long.
+// What is not the protocol's own goes on as it came; the body is framed anew.
+func appendRequest(b []byte, c *call, wait time.Duration) []byte {
+	r := c.head
+	b = http1.AppendRequestLine(b, r.Method(), r.Target())
+	for i := range r.Len() {
+		if f := r.Field(i); !http1.Is(f.Name, "X-Timeout") && r.EndToEnd(f.Name) {
+			b = http1.AppendParsed(b, f)
+		}
+	}
+	b = append(b, "X-Timeout: "...)
+	b = strconv.AppendInt(b, max(wait.Microseconds(), 1), 10)
+	b = append(b, "u\r\n"...)
+	if len(c.body) > 0 || string(r.Method()) != http.MethodGet {
+		b = http1.AppendLength(b, int64(len(c.body)))
+	}
+	return append(http1.AppendEnd(b), c.body...)
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
-	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/http1"
 	"barleydrum.example/barleydrum/internal/standin"
 )
 
@@ -68,13 +68,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s, err := NewServer(c, e)
+	if err != nil {
+		t.Fatal(err)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{t: t, url: "http://" + l.Addr().String(), engine: e, server: NewServer(c, e), served: make(chan error, 1)}
+	p := &proxy{t: t, url: "http://" + l.Addr().String(), engine: e, server: s, served: make(chan error, 1)}
 	go func() { p.served <- p.server.Serve(l) }()
-	t.Cleanup(func() { p.server.http.Close() })
+	t.Cleanup(func() { p.server.door.Close() })
 	return p
 }
 
@@ -130,7 +134,7 @@
 	answer := "\x1f\x8bnot gzip\x00"
 	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		_, timed := parseTimeout(r.Header.Get("X-Timeout"))
+		_, timed := parseTimeout([]byte(r.Header.Get("X-Timeout")))
 		if r.RequestURI != "/api/a%2Fb?x=1" || r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" || !timed ||
 			r.Header.Get("Accept-Encoding") != "" || r.Method == "POST" && string(body) != "hello" {
 			t.Errorf("got %s %s %v %q", r.Method, r.RequestURI, r.Header, body)
@@ -158,162 +162,6 @@
 	}
 }
 
-// Libraries repeat by themselves a request that fails on a reused connection, also
-// a POST with an Idempotency-Key. Each repeat must be the balancer's.
-func TestNoHiddenResend(t *testing.T) {
-	for _, c := range []struct{ method, body string }{
-		{"GET", ""}, {"POST", ""}, {"POST", "x"}, {"POST", strings.Repeat("x", maxBody)},
-	} {
-		t.Run(fmt.Sprint(c.method, len(c.body)), func(t *testing.T) {
-			var came atomic.Int32
-			addr := standin.TCP(t, func(c net.Conn) {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for n := 0; standin.ReadRequest(in) == nil; n++ {
-					came.Add(1)
-					if n == 1 { // the first on this connection is answered, the second is read and dropped
-						return
-					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-				}
-			})
-			p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
-			defer p.release(to, false)
-			do := func() answer {
-				req, err := http.NewRequest(c.method, "http://"+addr+"/", nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				req.Header.Set("Idempotency-Key", "k")
-				return (&exchange{ctx: context.Background()}).do(p, to, req, []byte(c.body))
-			}
-			if a := do(); a.result != balance.OK || string(a.body) != "ok" {
-				t.Fatalf("first: %+v", a)
-			}
-			if a := do(); a.result != balance.Reset {
-				t.Errorf("second: %+v, want a reset", a)
-			}
-			if n := came.Load(); n != 2 {
-				t.Errorf("%d requests came, want 2", n)
-			}
-		})
-	}
-}
-
-// What comes on a connection behind an answer, or while it is idle, was read as the answer
-// to the next request. The second request here must have an answer of its own.
-func TestNoStrayAnswers(t *testing.T) {
-	ok := func(body string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	}
-	for name, stray := range map[string]string{"copy": ok("first"), "noise": "\x00\xff", "none": ""} {
-		for _, late := range []bool{false, true} {
-			came := make(chan struct{}, 2)
-			var conns atomic.Int32
-			addr := standin.TCP(t, func(c net.Conn) {
-				defer c.Close()
-				body := "first"
-				if conns.Add(1) > 1 {
-					body = "second"
-				}
-				in := bufio.NewReader(c)
-				for standin.ReadRequest(in) == nil {
-					if late {
-						io.WriteString(c, ok(body))
-						time.Sleep(time.Millisecond)
-						io.WriteString(c, stray)
-					} else {
-						io.WriteString(c, ok(body)+stray)
-					}
-					came <- struct{}{}
-					body = "second"
-				}
-			})
-			p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
-			for _, want := range []string{"first", "second"} {
-				req, err := http.NewRequest("POST", "http://"+addr+"/", nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				a := (&exchange{ctx: context.Background()}).do(p, to, req, []byte("x"))
-				if a.result != balance.OK || string(a.body) != want {
-					t.Errorf("%s, late %v: %d %q, want %q", name, late, a.result, a.body, want)
-				}
-				wait(t, came, "answer")
-			}
-			p.release(to, false)
-			if n := conns.Load(); stray == "" && n != 1 || stray != "" && n != 2 {
-				t.Errorf("%s, late %v: %d connections", name, late, n)
-			}
-		}
-	}
-}
-
-// With all slots taken, the connection that was unused for longest gives way, and no
-// endpoint is to blame where none does.
-func TestConnectionsGiveWay(t *testing.T) {
-	hello := func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
-	p := newPool(testConfig(t, discovery.List{}))
-	p.slots = make(chan struct{}, 2)
-	p.dialer.Timeout = 50 * time.Millisecond
-	var routes [3]*route
-	for i := range routes {
-		routes[i] = &route{addr: standin.HTTP(t, hello)}
-		defer p.release(routes[i], false)
-	}
-	do := func(to *route) balance.Result {
-		req, err := http.NewRequest("POST", "http://"+to.addr+"/", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return (&exchange{ctx: context.Background()}).do(p, to, req, nil).result
-	}
-	for i, to := range routes {
-		if got := do(to); got != balance.OK {
-			t.Errorf("endpoint %d: result %d", i, got)
-		}
-	}
-	if c := p.take(routes[0]); c != nil {
-		t.Error("the connection unused for longest is still there")
-	}
-	held := []*conn{p.take(routes[1]), p.take(routes[2])}
-	if held[0] == nil || held[1] == nil {
-		t.Fatal("the others are not")
-	}
-	if got := do(routes[0]); got != balance.NotSent {
-		t.Errorf("result %d with no slot left, want %d", got, balance.NotSent)
-	}
-	for _, c := range held {
-		c.Close()
-	}
-	if got := do(routes[0]); got != balance.OK {
-		t.Errorf("result %d with slots left", got)
-	}
-}
-
-// Connections that stand idle are closed before the endpoint closes them, also those that
-// fell idle later.
-func TestIdleConnectionsExpire(t *testing.T) {
-	p := newPool(testConfig(t, discovery.List{}))
-	p.keepAlive = 20 * time.Millisecond
-	to := &route{addr: standin.TCP(t, func(c net.Conn) { io.Copy(io.Discard, c) })}
-	for range 3 {
-		for range 2 {
-			c, err := p.dial(context.Background(), to)
-			if err != nil {
-				t.Fatal(err)
-			}
-			p.put(c)
-			time.Sleep(5 * time.Millisecond)
-		}
-		for end := time.Now().Add(patience); len(p.slots) > 0; time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("%d connections are left", len(p.slots))
-			}
-		}
-	}
-}
-
 // Endpoints are replaced all day. One that is gone is forgotten once nothing is out to it,
 // and its id may come back; a new one at its address has connections of its own.
 func TestForgetsEndpoints(t *testing.T) {
@@ -382,145 +230,6 @@
 	}
 }
 
-// An outcome that proves a request never ran lets it be sent again; in doubt, it may have run.
-func TestOutcomes(t *testing.T) {
-	reply := func(text string) string {
-		return standin.TCP(t, func(c net.Conn) {
-			defer c.Close()
-			if standin.ReadRequest(bufio.NewReader(c)) == nil {
-				io.WriteString(c, text)
-			}
-		})
-	}
-	endless := func(start, more string) func(net.Conn) { // and its connection stays open
-		return func(c net.Conn) {
-			defer c.Close()
-			if standin.ReadRequest(bufio.NewReader(c)) != nil {
-				return
-			}
-			more := []byte(strings.Repeat(more, 1000))
-			for _, err := io.WriteString(c, start); err == nil; {
-				_, err = c.Write(more)
-			}
-		}
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed := l.Addr().String() // once all others listen, so that none gets its port
-	silence := make(chan struct{}, 1)
-	silent := standin.TCP(t, func(c net.Conn) {
-		in := bufio.NewReader(c)
-		if standin.ReadRequest(in) == nil {
-			silence <- struct{}{}
-		}
-		io.Copy(io.Discard, in)
-	})
-	cases := map[string]struct {
-		addr string
-		want balance.Result
-	}{
-		"served":          {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
-		"error":           {reply("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), balance.Error},
-		"503":             {reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), balance.Error},
-		"503 not run":     {reply("HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
-		"504 not run":     {reply("HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
-		"500 not run":     {reply("HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Error},
-		"no answer":       {reply(""), balance.Reset},
-		"half a header":   {reply("HTTP/1.1 200 OK\r\nContent-Le"), balance.Reset},
-		"short body":      {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), balance.Reset},
-		"short chunk":     {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok"), balance.Reset},
-		"no HTTP":         {reply("hello\r\n"), balance.Error},
-		"oversized":       {reply("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000)), balance.Error},
-		"3 GB":            {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x")), balance.Error},
-		"endless header":  {standin.TCP(t, endless("HTTP/1.1 200 OK\r\n", "X-A: b\r\n")), balance.Error},
-		"endless line":    {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nX: ", "x")), balance.Error},
-		"endless chunks":  {standin.TCP(t, endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n")), balance.Error},
-		"endless 1xx":     {standin.TCP(t, endless("", "HTTP/1.1 102 Wait\r\n\r\n")), balance.Error},
-		"endless noise":   {standin.TCP(t, endless("", "\x00\xff")), balance.Error},
-		"some 1xx":        {reply(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
-		"protocol change": {reply("HTTP/1.1 101 Switching\r\n\r\nok"), balance.Error},
-		"two lengths":     {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"), balance.Error},
-		"both lengths":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), balance.Error},
-		"negative length": {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), balance.Error},
-		"no length":       {reply("HTTP/1.1 200 OK\r\n\r\nok"), balance.Error},
-		"until the close": {reply("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"), balance.OK},
-		"bad report":      {reply("HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=?\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
-		"refused":         {closed, balance.ConnectFailed},
-		"silent":          {silent, balance.Timeout},
-		"barred at start": {silent, balance.ConnectFailed},
-	}
-	l.Close()
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			ctx, cancel := context.WithCancelCause(context.Background())
-			defer cancel(nil)
-			x := &exchange{ctx: ctx}
-			switch name {
-			case "barred at start":
-				x.bar()
-			case "silent":
-				go func() {
-					<-silence
-					cancel(errDeadline)
-				}()
-			}
-			req, err := http.NewRequest("POST", "http://"+c.addr+"/", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if a := x.do(newPool(testConfig(t, discovery.List{})), &route{addr: c.addr}, req, []byte("body")); a.result != c.want {
-				t.Errorf("result %d, want %d", a.result, c.want)
-			}
-		})
-	}
-}
-
-// Once barred, a request does not go out on whatever connection there is for it.
-func TestBarredWritesNothing(t *testing.T) {
-	got := make(chan int, 1)
-	addr := standin.TCP(t, func(c net.Conn) {
-		defer c.Close()
-		n, _ := c.Read(make([]byte, 1))
-		got <- n
-	})
-	p, to := newPool(testConfig(t, discovery.List{})), &route{addr: addr}
-	x := &exchange{ctx: context.Background()}
-	x.bar()
-	req, err := http.NewRequest("POST", "http://"+addr+"/", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if a := x.do(p, to, req, []byte("body")); a.result != balance.ConnectFailed {
-		t.Errorf("result %d, want %d", a.result, balance.ConnectFailed)
-	}
-	p.release(to, false)
-	if n := <-got; n != 0 {
-		t.Error("it went out")
-	}
-}
-
-// A break before the request's last byte is written proves that it never ran.
-func TestBreakWhileWriting(t *testing.T) {
-	here, there := net.Pipe()
-	p, to := newPool(testConfig(t, discovery.List{})), &route{}
-	p.slots <- struct{}{}
-	c := &conn{Conn: here, in: bufio.NewReader(here), to: to, pool: p}
-	go func() {
-		there.Read(make([]byte, 10))
-		there.Close()
-	}()
-	req, err := http.NewRequest("POST", "http://127.0.0.1:1/", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := (&exchange{ctx: context.Background()}).carry(c, req, []byte(strings.Repeat("x", maxBody)))
-	if a.result != balance.ConnectFailed {
-		t.Errorf("result %d, want %d", a.result, balance.ConnectFailed)
-	}
-}
-
 // An unsafe request that may have run is failed, never refused and never sent again;
 // one that never ran goes to another endpoint.
 func TestUnsafe(t *testing.T) {
@@ -656,28 +365,45 @@
 
 // An attempt that waits for a connection must not go out once its endpoint has left.
 func TestLeftWhileDialing(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	holds := standin.HTTP(t, func(http.ResponseWriter, *http.Request) {
+		close(began)
+		<-finish
+	})
 	leaving := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it went out late") })
-	p := start(t, testConfig(t, up(leaving)))
-	pool := p.engine.pool
-	for range cap(pool.slots) { // it waits for one
-		pool.slots <- struct{}{}
+	list := func(id, addr string) discovery.List {
+		l := up(addr)
+		l.Instances[0].ID = id
+		return l
 	}
-	status := make(chan int, 1)
-	go func() {
-		resp, _ := p.send(p.request("pay", "x"))
-		status <- resp.StatusCode
-	}()
-	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
-		pool.mu.Lock()
-		waiting = pool.waiting
-		pool.mu.Unlock()
-	}
-	taken := standin.HTTP(t, func(http.ResponseWriter, *http.Request) {})
-	l := up(leaving, taken)
-	l.Reset, l.Instances[0].Lifecycle = false, "draining"
+	c := testConfig(t, list("holds", holds))
+	c.Settings.Endpoints.Connections = 1
+	p := start(t, c)
+	ask := func(id string) chan int {
+		status := make(chan int, 1)
+		req := p.request("pay", "x")
+		req.Header.Set("X-Request-ID", id)
+		go func() {
+			resp, _ := p.send(req)
+			status <- resp.StatusCode
+		}()
+		return status
+	}
+	first := ask("1") // which holds the only connection
+	wait(t, began, "first attempt")
+	l := list("leaves", leaving)
 	p.engine.list(&l)
-	for range cap(pool.slots) {
-		<-pool.slots
+	status := ask("2")
+	for p.engine.pool.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l = up(standin.HTTP(t, func(http.ResponseWriter, *http.Request) {}))
+	l.Reset = false
+	l.Instances = append(l.Instances, discovery.Instance{ID: "leaves", HostPort: leaving, Zone: "a", Lifecycle: "draining"})
+	p.engine.list(&l)
+	close(finish)
+	if got := <-first; got != 200 {
+		t.Errorf("the first: %d", got)
 	}
 	select {
 	case got := <-status:
@@ -758,7 +484,7 @@
 		p.server.Shutdown()
 		close(stopped)
 	}()
-	for !p.server.draining.Load() {
+	for !p.server.door.Draining() {
 		time.Sleep(time.Millisecond)
 	}
 	close(finish)
@@ -901,9 +627,8 @@
 // Nobody waits for longer than the class's deadline: no timer is held for longer either.
 func TestTimeoutIsBounded(t *testing.T) {
 	p := start(t, testConfig(t, discovery.List{}))
-	req := p.request("read", "")
-	req.Header.Set("X-Timeout", "3000000m")
-	c, err := p.server.parse(req)
+	c := new(call)
+	err := p.server.parse(c, requestHead(t, "GET / HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Priority-Class: read\r\nX-Timeout: 3000000m\r\n\r\n"))
 	if err != nil || c.Budget != 30*time.Second {
 		t.Errorf("budget %v, %v, want the class's 30 s", c.Budget, err)
 	}
@@ -949,3 +674,39 @@
 		}
 	}
 }
+
+// requestHead parses a request's head.
+func requestHead(t *testing.T, text string) *http1.Request {
+	t.Helper()
+	r := http1.NewRequest(http1.DefaultLimits)
+	if n, err := r.Parse([]byte(text)); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	return r
+}
+
+// What an endpoint says of its answer's body goes on with it; what concerns its connection or
+// this sidecar does not. One of the protocol's own fields that Connection names would not
+// reach an endpoint: that is refused.
+func TestPassesOn(t *testing.T) {
+	p := start(t, testConfig(t, up(standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		for name, value := range map[string]string{
+			"Content-Type": "text/x", "Content-Encoding": "x", "X-Server-Load": "TEXT inflight=1", "X-Mine": "1",
+			"Connection": "X-Hop", "X-Hop": "1", "Keep-Alive": "timeout=5",
+		} {
+			w.Header().Set(name, value)
+		}
+		io.WriteString(w, "ok")
+	}))))
+	resp, body := p.send(p.request("read", ""))
+	h := resp.Header
+	if body != "ok" || h.Get("Content-Type") != "text/x" || h.Get("Content-Encoding") != "x" || h.Get("X-Mine") != "1" ||
+		h.Get("X-Server-Load")+h.Get("X-Hop")+h.Get("Keep-Alive") != "" || len(h["Date"]) != 1 || resp.ContentLength != 2 {
+		t.Errorf("%q %v", body, h)
+	}
+	req := p.request("book", "x")
+	req.Header.Set("Connection", "idempotency-key")
+	if resp, _ := p.send(req); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("a key that Connection names: %s", resp.Status)
+	}
+}
--- /dev/null
+++ b/internal/sock/sock_test.go
@@ -0,0 +1,126 @@
+package sock
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+)
+
+const patience = 20 * time.Second
+
+// pair returns the two ends of a connection.
+func pair(t *testing.T, bufs *http1.Buffers) (*Conn, *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(here, bufs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		here.Close()
+		there.Close()
+	})
+	return s, there.(*net.TCPConn)
+}
+
+// Reads take a buffer only with something in it, come back at the deadline with none, and end
+// with io.EOF.
+func TestFill(t *testing.T) {
+	var bufs http1.Buffers
+	here, there := pair(t, &bufs)
+	if !here.Quiet() {
+		t.Error("not quiet at first")
+	}
+	here.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	b, err := here.Fill(nil)
+	if ne, ok := err.(net.Error); b != nil || !ok || !ne.Timeout() {
+		t.Errorf("%v %v, want a time-out and no buffer", b, err)
+	}
+	here.SetReadDeadline(time.Now().Add(patience))
+	long := strings.Repeat("x", 100_000)
+	go io.WriteString(there, long)
+	for b == nil || b.Len() < len(long) {
+		if b, err = here.Fill(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if string(b.Bytes()) != long {
+		t.Error("what was read is not what was sent")
+	}
+	io.WriteString(there, "y")
+	for here.Quiet() {
+		runtime.Gosched()
+	}
+	there.CloseWrite()
+	if b, err = here.Fill(nil); err != nil || string(b.Bytes()) != "y" {
+		t.Errorf("%v %v", b, err)
+	}
+	if b, err = here.Fill(nil); b != nil || err != io.EOF {
+		t.Errorf("%v %v, want the end", b, err)
+	}
+	if here.Quiet() {
+		t.Error("quiet at its end")
+	}
+}
+
+// Each peer that ends its sending or resets is told once, whatever else has been sent; one
+// that is closed here is not.
+func TestWatch(t *testing.T) {
+	w, err := NewWatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, ended := make(chan uint64, 100), make(chan error, 1)
+	go func() { ended <- w.Run(func(number uint64) { told <- number }) }()
+	var bufs http1.Buffers
+	const big = 7<<40 + 5 // numbers go beyond 32 bits
+	for i, end := range []func(c *net.TCPConn){
+		func(c *net.TCPConn) { c.Close() }, func(c *net.TCPConn) { c.CloseWrite() },
+		func(c *net.TCPConn) {
+			c.SetLinger(0)
+			c.Close()
+		},
+	} {
+		here, there := pair(t, &bufs)
+		silent, _ := pair(t, &bufs)
+		for n, c := range []*Conn{here, silent} {
+			if err := w.Add(c, big+uint64(2*i+n)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		io.WriteString(there, "something")
+		silent.Close()
+		end(there)
+		select {
+		case got := <-told:
+			if got != big+uint64(2*i) {
+				t.Errorf("%d was told, want %d", got, big+2*i)
+			}
+		case <-time.After(patience):
+			t.Fatal("it is not told")
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/quick.go
@@ -0,0 +1,172 @@
+package standin
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+)
+
+// Quick is a node that answers at once and does as little as a node can, so that what is
+// measured before it is not its own work. A request to /api/hold is answered after QuickHold.
+type Quick struct {
+	l        net.Listener
+	answer   []byte
+	inFlight atomic.Int64
+}
+
+// QuickHold is how long a Quick holds a request to /api/hold.
+const QuickHold = 1200 * time.Millisecond
+
+// NewQuick starts a node on loopback whose answers have so many bytes of body.
+func NewQuick(body int) (*Quick, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in node: %w", err)
+	}
+	q := &Quick{l: l}
+	q.answer = append(quickHead(body), bytes.Repeat([]byte("x"), body)...)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go q.serve(c)
+		}
+	}()
+	return q, nil
+}
+
+func quickHead(body int) []byte {
+	b := http1.AppendField(http1.AppendStatusLine(nil, 200), "Content-Type", "text/plain")
+	return http1.AppendEnd(http1.AppendLength(b, int64(body)))
+}
+
+// Addr is where the node listens.
+func (q *Quick) Addr() string { return q.l.Addr().String() }
+
+// Close stops listening.
+func (q *Quick) Close() error { return q.l.Close() }
+
+func (q *Quick) serve(c net.Conn) {
+	defer c.Close()
+	r := http1.NewRequest(http1.DefaultLimits)
+	var buf http1.Buffer
+	var out []byte
+	for {
+		r.Reset()
+		n, err := r.Parse(buf.Bytes())
+		whole := n + int(max(r.ContentLength(), 0))
+		for n == 0 && err == nil || n > 0 && buf.Len() < whole {
+			var m int
+			if m, err = c.Read(buf.Room(2048)); err != nil {
+				return
+			}
+			buf.Wrote(m)
+			if n == 0 {
+				n, err = r.Parse(buf.Bytes())
+				whole = n + int(max(r.ContentLength(), 0))
+			}
+		}
+		if err != nil {
+			return
+		}
+		q.inFlight.Add(1)
+		path := r.Path()
+		out = q.answer
+		if string(path) == "/api/hold" {
+			time.Sleep(QuickHold)
+		} else if string(path) == "/load" {
+			text := fmt.Sprintf("TEXT inflight=%d, queue=0, util=0.00", q.inFlight.Load()-1)
+			out = append(quickHead(len(text)), text...)
+		}
+		buf.Skip(whole)
+		_, err = c.Write(out)
+		q.inFlight.Add(-1)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// QuickCaller asks on one connection, one request after another, and allocates nothing for
+// that: what is measured beside it is not its own work.
+type QuickCaller struct {
+	c      net.Conn
+	text   []byte
+	id     []byte // the digits of the request's id and key in text
+	key    []byte
+	next   uint64
+	answer *http1.Answer
+	buf    http1.Buffer
+}
+
+// NewQuickCaller connects to an address. Its requests are of a class, go to a path under /api/,
+// carry so many bytes and wait for up to timeout. first is the first of its ids; each caller
+// needs its own range.
+func NewQuickCaller(addr, class, path string, body int, timeout time.Duration, first uint64) (*QuickCaller, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in caller: %w", err)
+	}
+	q := &QuickCaller{c: c, next: first, answer: http1.NewAnswer(http1.DefaultLimits)}
+	const digits = "0000000000000000"
+	b := http1.AppendRequestLine(nil, []byte("POST"), []byte("/api/"+path))
+	b = http1.AppendField(b, "Host", "origin.svc")
+	b = http1.AppendField(b, "X-Priority-Class", class)
+	b = http1.AppendField(b, "X-Timeout", strconv.FormatInt(timeout.Milliseconds(), 10)+"m")
+	b = http1.AppendField(b, "X-Request-ID", digits)
+	id := len(b) - 2 - len(digits)
+	b = http1.AppendField(b, "Idempotency-Key", digits)
+	key := len(b) - 2 - len(digits)
+	b = append(http1.AppendEnd(http1.AppendLength(b, int64(body))), bytes.Repeat([]byte("x"), body)...)
+	q.text, q.id, q.key = b, b[id:id+len(digits)], b[key:key+len(digits)]
+	return q, nil
+}
+
+// Do asks once and returns the answer's status.
+func (q *QuickCaller) Do() (status int, err error) {
+	q.next++
+	for i, n := len(q.id)-1, q.next; i >= 0; i, n = i-1, n>>4 {
+		q.id[i] = "0123456789abcdef"[n&15]
+	}
+	copy(q.key, q.id)
+	if _, err := q.c.Write(q.text); err != nil {
+		return 0, err
+	}
+	q.answer.Reset()
+	q.buf.Reset()
+	for head := 0; ; {
+		n, err := q.c.Read(q.buf.Room(2048))
+		if err != nil {
+			return 0, err
+		}
+		q.buf.Wrote(n)
+		if head == 0 {
+			if head, err = q.answer.Parse(q.buf.Bytes()); err != nil {
+				return 0, err
+			}
+			if head == 0 {
+				continue
+			}
+			if q.answer.ContentLength() < 0 {
+				return 0, errors.New("stand-in caller: an answer without a length")
+			}
+		}
+		switch whole := head + int(q.answer.ContentLength()); {
+		case q.buf.Len() > whole:
+			return 0, errors.New("stand-in caller: more than an answer came")
+		case q.buf.Len() == whole:
+			return q.answer.Status(), nil
+		}
+	}
+}
+
+// Close ends the connection.
+func (q *QuickCaller) Close() error { return q.c.Close() }
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,424 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/http1"
+)
+
+// Why an exchange was ended from this side.
+var (
+	ErrCanceled = errors.New("canceled by the balancer")
+	ErrLeft     = errors.New("the endpoint has left service, or the request has its answer")
+)
+
+// maxInterim is the most 1xx answers ahead of one.
+const maxInterim = 8
+
+// The states of an exchange's sending.
+const (
+	waiting = iota // for a connection
+	writing        // or written
+	barred         // before it began to be written
+)
+
+// Exchange is one request to an endpoint and its answer. One goroutine at a time carries it, by
+// Ready or Dial and then Run; End, Leave and Interrupt may be called by any.
+type Exchange struct {
+	pool  *Pool
+	to    *Route
+	until time.Time
+	out   *http1.Buffer // what is still to be written; nil once it has been
+	conn  *conn         // nil before there is one, and once it is over
+
+	mu          sync.Mutex
+	state       int
+	cause       error              // why it was ended from this side
+	dialing     context.CancelFunc // while it is
+	bound       *conn              // that Interrupt and End may touch
+	interrupted bool
+
+	// The answer, as far as it has come.
+	head    http1.Answer
+	buf     *http1.Buffer
+	limits  Limits
+	interim int
+	headLen int // of the final head, once it is whole
+	framing http1.Framing
+	chunks  http1.Chunks
+	text    []byte // the head's, where the body is not kept behind it
+	body    []byte
+
+	result balance.Result
+	load   balance.Load
+	loaded bool
+}
+
+// Begin makes an exchange ready to be carried: a request that compose appends, to be sent to a
+// route and answered before until. What it held before is dropped.
+func (x *Exchange) Begin(p *Pool, to *Route, until time.Time, compose func(b []byte) []byte) {
+	x.pool, x.to, x.until = p, to, until
+	x.state, x.cause, x.interrupted, x.bound, x.conn = waiting, nil, false, nil, nil
+	x.interim, x.headLen, x.framing, x.text, x.body = 0, 0, http1.None, nil, nil
+	x.loaded = false
+	x.out = p.bufs.Get()
+	x.out.Compose(compose)
+}
+
+// Ready takes a connection that stands idle, and tells whether there was one. It does not wait.
+func (x *Exchange) Ready() bool {
+	x.conn = x.pool.ready(x.to)
+	return x.conn != nil
+}
+
+// Dial opens a connection, and tells whether there is one. If not, the exchange is over.
+func (x *Exchange) Dial() bool {
+	ctx, cancel := context.WithDeadline(context.Background(), x.until)
+	defer cancel()
+	x.mu.Lock()
+	x.dialing = cancel
+	over := x.state == barred
+	x.mu.Unlock()
+	var err error
+	if over {
+		err = ErrLeft
+	} else {
+		x.conn, err = x.pool.dial(ctx, x.to)
+	}
+	x.mu.Lock()
+	x.dialing = nil
+	x.mu.Unlock()
+	if err != nil {
+		x.fail(false, err)
+	}
+	return err == nil
+}
+
+// Run carries the exchange on its connection. It returns false if it was interrupted: then it
+// goes on with the next Run. Else it is over, and its connection is back in the pool or closed.
+func (x *Exchange) Run() bool {
+	if !x.bind() {
+		x.pool.put(x.conn)
+		x.conn = nil
+		x.fail(false, ErrLeft)
+		return true
+	}
+	for x.out != nil {
+		n, err := x.conn.Write(x.out.Bytes())
+		x.out.Skip(n)
+		if err != nil {
+			if x.paused() {
+				return false
+			}
+			x.over(false, err) // the endpoint has not got the last byte
+			return true
+		}
+		x.pool.bufs.Put(x.out)
+		x.out = nil
+	}
+	for {
+		whole, err := x.parse()
+		switch {
+		case whole:
+			x.complete()
+			return true
+		case err != nil:
+			x.over(true, spoilt{err})
+			return true
+		}
+		if x.buf, err = x.conn.Fill(x.buf); err == nil {
+			continue
+		}
+		if x.paused() {
+			return false
+		}
+		if err == io.EOF && x.headLen > 0 && x.framing == http1.UntilClose {
+			x.complete()
+			return true
+		}
+		x.over(true, err)
+		return true
+	}
+}
+
+// bind makes the connection the exchange's, unless it has been barred or ended. It is what a
+// request has to pass before its first byte goes out.
+func (x *Exchange) bind() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state == barred {
+		return false
+	}
+	x.state, x.bound, x.interrupted = writing, x.conn, false
+	if x.cause == nil {
+		x.conn.SetDeadline(x.until)
+	}
+	return true
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Interrupt has Run return soon, to be called again by another goroutine. The request must have
+// begun to go out, or been barred.
+func (x *Exchange) Interrupt() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.bound != nil {
+		x.interrupted = true
+		x.bound.SetDeadline(past)
+	}
+}
+
+// paused tells whether a read or write has ended for an Interrupt.
+func (x *Exchange) paused() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.interrupted && x.cause == nil && time.Now().Before(x.until)
+}
+
+// End withdraws an exchange. If it has not begun to go out, it never will.
+func (x *Exchange) End(cause error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.end(cause)
+}
+
+// Leave ends an exchange that has not begun to go out; another goes on.
+func (x *Exchange) Leave() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state == waiting {
+		x.end(ErrLeft)
+	}
+}
+
+func (x *Exchange) end(cause error) {
+	if x.cause == nil {
+		x.cause = cause
+	}
+	if x.state == waiting {
+		x.state = barred
+	}
+	if x.dialing != nil {
+		x.dialing()
+	}
+	if x.bound != nil {
+		x.bound.SetDeadline(past)
+	}
+}
+
+// unbind takes the connection from those that may touch it.
+func (x *Exchange) unbind() (ended error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.bound = nil
+	return x.cause
+}
+
+// over ends an exchange that has no usable answer.
+func (x *Exchange) over(sent bool, err error) {
+	x.unbind()
+	x.conn.Close()
+	x.conn = nil
+	x.fail(sent, err)
+}
+
+// fail sets the result of an exchange without a usable answer. What was sent whole may have run.
+func (x *Exchange) fail(sent bool, err error) {
+	x.mu.Lock()
+	cause := x.cause
+	x.mu.Unlock()
+	timeout := interface{ Timeout() bool }(nil)
+	switch {
+	case cause == ErrCanceled:
+		x.result = balance.Canceled
+	case !sent && (cause == ErrLeft || errors.Is(err, errNoSlot)): // through no fault of the endpoint
+		x.result = balance.NotSent
+	case !sent:
+		x.result = balance.ConnectFailed
+	case errors.As(err, new(spoilt)):
+		x.result = balance.Error
+	case cause != nil, errors.As(err, &timeout) && timeout.Timeout():
+		x.result = balance.Timeout
+	default:
+		x.result = balance.Reset
+	}
+	x.drop()
+}
+
+// drop gives the buffers back.
+func (x *Exchange) drop() {
+	if x.out != nil {
+		x.pool.bufs.Put(x.out)
+		x.out = nil
+	}
+	if x.buf != nil {
+		x.pool.bufs.Put(x.buf)
+		x.buf = nil
+	}
+	x.body = nil
+}
+
+// spoilt is the fault of an answer that came and can't be used. The request has run.
+type spoilt struct{ error }
+
+func (s spoilt) Unwrap() error { return s.error }
+
+var errBodyTooLong = errors.New("body too long")
+
+// parse takes what has come of the answer, and tells whether it is whole.
+func (x *Exchange) parse() (whole bool, err error) {
+	if x.buf == nil {
+		if x.headLen == 0 && x.interim == 0 {
+			x.limits = x.pool.cfg.Limits()
+			x.head.Limits = http1.DefaultLimits
+			x.head.Limits.Head = x.limits.Head
+			x.head.Reset()
+		}
+		return false, nil
+	}
+	for x.headLen == 0 {
+		n, err := x.head.Parse(x.buf.Bytes())
+		if n == 0 || err != nil {
+			return false, err
+		}
+		if x.head.Interim() {
+			if x.interim++; x.interim > maxInterim {
+				return false, http1.ErrInterim
+			}
+			x.buf.Skip(n)
+			x.head.Limits.Head -= n
+			x.head.Reset()
+			continue
+		}
+		if x.head.Status() == http.StatusSwitchingProtocols {
+			return false, http1.ErrUnasked
+		}
+		if x.framing, err = x.head.Framing(false); err != nil {
+			return false, err
+		}
+		if n := x.head.ContentLength(); x.framing == http1.Length && n > x.limits.Body {
+			return false, fmt.Errorf("%w: %d bytes", errBodyTooLong, n)
+		}
+		x.headLen = n
+		if x.framing == http1.Chunked || x.framing == http1.UntilClose {
+			// Its length is not known: the head is kept apart, and the body grows by itself.
+			x.text = append([]byte(nil), x.buf.Bytes()[:n]...)
+			x.head.Moved(x.text)
+			x.buf.Skip(n)
+			x.chunks = http1.Chunks{Limits: http1.DefaultLimits}
+		}
+	}
+	switch x.framing {
+	case http1.Length:
+		return int64(x.buf.Len()-x.headLen) >= x.head.ContentLength(), nil
+	case http1.Chunked:
+		for {
+			data, n, err := x.chunks.Next(x.buf.Bytes())
+			x.body = append(x.body, data...)
+			x.buf.Skip(n)
+			switch {
+			case err != nil:
+				return false, err
+			case int64(len(x.body)) > x.limits.Body:
+				return false, errBodyTooLong
+			case x.chunks.Done():
+				return true, nil
+			case n == 0:
+				return false, nil
+			}
+		}
+	case http1.UntilClose:
+		x.body = append(x.body, x.buf.Bytes()...)
+		x.buf.Reset()
+		if int64(len(x.body)) > x.limits.Body {
+			return false, errBodyTooLong
+		}
+		return false, nil
+	}
+	return true, nil
+}
+
+// complete takes an answer that is whole. Its connection may be used again if the answer does
+// not end it and nothing has come behind.
+func (x *Exchange) complete() {
+	rest := x.buf.Len()
+	switch x.framing {
+	case http1.None:
+		rest -= x.headLen
+		x.head.Moved(x.buf.Bytes())
+	case http1.Length:
+		text := x.buf.Bytes()
+		x.head.Moved(text)
+		whole := x.headLen + int(x.head.ContentLength())
+		x.body = text[x.headLen:whole]
+		rest -= whole
+	}
+	if ended := x.unbind(); ended == nil && rest == 0 && !x.head.Closes() && x.framing != http1.UntilClose {
+		x.pool.put(x.conn)
+	} else {
+		x.conn.Close()
+	}
+	x.conn = nil
+	x.load, x.loaded = parseLoad(x.head.Value("X-Server-Load"))
+	x.result = balance.Error
+	switch x.head.Status() {
+	case http.StatusOK:
+		x.result = balance.OK
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if string(x.head.Value("X-Not-Processed")) == "1" {
+			x.result = balance.Rejected
+		}
+	}
+	if x.result != balance.OK {
+		x.drop()
+	}
+}
+
+// Result is how an exchange that is over has ended.
+func (x *Exchange) Result() balance.Result { return x.result }
+
+// Load is the load report that came with the answer, nil for none.
+func (x *Exchange) Load() *balance.Load {
+	if !x.loaded {
+		return nil
+	}
+	return &x.load
+}
+
+// Head is the head of an answer whose result is OK, until Done.
+func (x *Exchange) Head() *http1.Answer { return &x.head }
+
+// Body is its body, until Done.
+func (x *Exchange) Body() []byte { return x.body }
+
+// Done gives back what an answer is held in.
+func (x *Exchange) Done() { x.drop() }
+
+// Probe asks a route for its load, or where there are no reports whether it is well.
+func (p *Pool) Probe(to *Route, path string, within time.Duration) (balance.Result, *balance.Load) {
+	x := new(Exchange)
+	x.Begin(p, to, time.Now().Add(within), func(b []byte) []byte {
+		b = http1.AppendRequestLine(b, []byte(http.MethodGet), []byte(path))
+		return http1.AppendEnd(http1.AppendField(b, "Host", to.Addr))
+	})
+	if x.Ready() || x.Dial() {
+		x.Run()
+	}
+	defer x.Done()
+	load := x.Load()
+	if x.result == balance.OK && load == nil {
+		if l, ok := parseLoad(x.body); ok {
+			load = &l
+		}
+	}
+	return x.result, load
+}
--- /dev/null
+++ b/internal/upstream/load.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+
+	"barleydrum.example/barleydrum/balance"
+)
+
+// parseLoad reads a load report, such as "TEXT busy_reqs=7, pending=2". There is none, or
+// one that is malformed, where it returns false. A field has the name that the settings give
+// it, or the protocol's own; taking only the latter left every report empty.
+func parseLoad(text []byte) (l balance.Load, ok bool) {
+	text, ok = bytes.CutPrefix(bytes.TrimSpace(text), []byte("TEXT "))
+	if !ok {
+		return l, false
+	}
+	l = balance.Load{InFlight: -1, Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}
+	for more := true; more; {
+		var part []byte
+		part, text, more = bytes.Cut(text, []byte(","))
+		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+		v, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return l, false
+		}
+		switch string(name) {
+		case "busy_reqs", "inflight":
+			l.InFlight = v
+		case "pending", "queue":
+			l.Queue = v
+		case "cpu_share", "util":
+			l.Util = v
+		case "svc_ms", "latency_ms":
+			l.LatencyMS = v
+		case "served_ps", "qps":
+			l.Served = v
+		case "failed_ps", "eps":
+			l.Failed = v
+		}
+	}
+	return l, true
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,238 @@
+// Package upstream carries requests to endpoints: routes, the pool of connections, and
+// exchanges of one request for one answer. An exchange goes out at most once, on a connection
+// that nothing is left to read on, and not at all once its endpoint has left; it tells what
+// can't have run from what may have.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/sock"
+)
+
+// Route is the way to one process of an endpoint. Its connections are of no use to another
+// process, also where that has its id or its address: each has a route of its own.
+type Route struct {
+	Addr string
+
+	closed bool    // no connection is kept; under Pool.mu
+	idle   []*conn // those that lead there, the one unused for longest first; under Pool.mu
+}
+
+// Config says how a pool is kept.
+type Config struct {
+	Connections int           // that may be open
+	ConnectTime time.Duration // a new one may take to come up
+	KeepAlive   time.Duration // one may stand idle
+	Limits      func() Limits // of answers; they may change
+}
+
+// Limits are what of an answer is taken.
+type Limits struct {
+	Head int   // bytes of its head, interim answers and all
+	Body int64 // bytes of its body
+}
+
+// Pool holds the connections to endpoints, each of which carries one exchange at a time.
+type Pool struct {
+	cfg   Config
+	bufs  http1.Buffers
+	slots chan struct{} // one for each connection that is open
+
+	mu       sync.Mutex
+	oldest   *conn // of all that are idle
+	newest   *conn
+	expiring bool // a timer will look for those to close
+	waiting  int  // exchanges that wait for a slot
+}
+
+// conn is a connection to an endpoint.
+type conn struct {
+	*sock.Conn
+	to         *Route
+	since      time.Time // when it fell idle
+	prev, next *conn     // by that, while it is idle
+	once       sync.Once
+	pool       *Pool
+}
+
+// NewPool returns a Pool.
+func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg, slots: make(chan struct{}, cfg.Connections)} }
+
+// Close closes a connection and gives its slot back.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		<-c.pool.slots
+	})
+	return err
+}
+
+// errNoSlot says that a connection can't be opened for a reason that lies on this side.
+var errNoSlot = errors.New("no descriptor left for a connection")
+
+// ready returns an idle connection to a route that nothing is left to read on: neither its end
+// nor bytes, which would be read as the answer to the next request. It is nil if there is none.
+func (p *Pool) ready(to *Route) *conn {
+	for c := p.take(to); c != nil; c = p.take(to) {
+		if c.Quiet() {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+// take removes and returns the idle connection to a route that was used last, or nil.
+func (p *Pool) take(to *Route) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(to.idle)
+	if n == 0 {
+		return nil
+	}
+	c := to.idle[n-1]
+	to.idle[n-1], to.idle = nil, to.idle[:n-1]
+	p.unlink(c)
+	return c
+}
+
+// yield removes and returns the connection that has been idle for longest, or nil. It is the
+// first of its route as well.
+func (p *Pool) yield() *conn {
+	c := p.oldest
+	if c == nil {
+		return nil
+	}
+	p.unlink(c)
+	c.to.idle = slices.Delete(c.to.idle, 0, 1)
+	return c
+}
+
+// put takes a connection back that is whole, with nothing left to read.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.to.closed || p.waiting > 0 {
+		c.Close()
+		return
+	}
+	c.since = time.Now()
+	if c.prev = p.newest; c.prev != nil {
+		c.prev.next = c
+	} else {
+		p.oldest = c
+	}
+	p.newest = c
+	c.to.idle = append(c.to.idle, c)
+	if !p.expiring {
+		p.expiring = true
+		time.AfterFunc(p.cfg.KeepAlive, p.expire)
+	}
+}
+
+func (p *Pool) unlink(c *conn) {
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		p.oldest = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		p.newest = c.prev
+	}
+	c.prev, c.next = nil, nil
+}
+
+// expire closes the connections that have stood idle for long enough.
+func (p *Pool) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := p.oldest; c != nil; c = p.oldest {
+		if left := p.cfg.KeepAlive - time.Since(c.since); left > 0 {
+			time.AfterFunc(left, p.expire)
+			return
+		}
+		p.yield().Close()
+	}
+	p.expiring = false
+}
+
+// Release closes the idle connections to a route. A route that is not kept gets no more.
+func (p *Pool) Release(to *Route, keep bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to.closed = to.closed || !keep
+	for _, c := range to.idle {
+		p.unlink(c)
+		c.Close()
+	}
+	to.idle = nil
+}
+
+// Open is how many connections are open or coming up.
+func (p *Pool) Open() int { return len(p.slots) }
+
+// Waiting is how many exchanges wait for another's connection to be closed.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting
+}
+
+// dial opens a connection. With all slots taken, the one unused for longest gives way.
+func (p *Pool) dial(ctx context.Context, to *Route) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ConnectTime)
+	defer cancel()
+	select {
+	case p.slots <- struct{}{}:
+	default:
+		if err := p.wait(ctx); err != nil {
+			return nil, err
+		}
+	}
+	nc, err := new(net.Dialer).DialContext(ctx, "tcp", to.Addr)
+	if err != nil {
+		<-p.slots
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err = errNoSlot
+		}
+		return nil, err
+	}
+	s, err := sock.New(nc, &p.bufs)
+	if err != nil {
+		<-p.slots
+		return nil, errors.Join(err, nc.Close())
+	}
+	return &conn{Conn: s, to: to, pool: p}, nil
+}
+
+// wait waits for a slot.
+func (p *Pool) wait(ctx context.Context) error {
+	p.mu.Lock()
+	if c := p.yield(); c != nil {
+		c.Close()
+	}
+	p.waiting++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.waiting--
+		p.mu.Unlock()
+	}()
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errNoSlot
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,615 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/sock"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// patience is how long a test waits for what must happen: no verdict leans on it being short.
+const patience = 20 * time.Second
+
+// maxBody is the longest body of an answer here.
+const maxBody = 64 << 10
+
+func newPool(connections int, connect, keepAlive time.Duration) *Pool {
+	return NewPool(Config{Connections: connections, ConnectTime: connect, KeepAlive: keepAlive,
+		Limits: func() Limits { return Limits{Head: 16 << 10, Body: maxBody} }})
+}
+
+func usualPool() *Pool { return newPool(100, 5*time.Second, time.Hour) }
+
+// request is a request's text.
+func request(method, body string) func(b []byte) []byte {
+	return func(b []byte) []byte {
+		b = http1.AppendRequestLine(b, []byte(method), []byte("/"))
+		b = http1.AppendField(b, "Host", "a")
+		b = http1.AppendField(b, "Idempotency-Key", "k")
+		return append(http1.AppendEnd(http1.AppendLength(b, int64(len(body)))), body...)
+	}
+}
+
+// do carries out an exchange and returns how it ended and the body of its answer.
+func do(p *Pool, to *Route, method, body string) (balance.Result, string) {
+	x := new(Exchange)
+	x.Begin(p, to, time.Now().Add(patience), request(method, body))
+	return carry(x)
+}
+
+func carry(x *Exchange) (balance.Result, string) {
+	if x.Ready() || x.Dial() {
+		for !x.Run() {
+		}
+	}
+	defer x.Done()
+	return x.Result(), string(x.Body())
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Libraries repeat by themselves a request that fails on a reused connection, also
+// a POST with an Idempotency-Key. Each repeat must be the balancer's.
+func TestNoHiddenResend(t *testing.T) {
+	for _, c := range []struct{ method, body string }{
+		{"GET", ""}, {"POST", ""}, {"POST", "x"}, {"POST", strings.Repeat("x", maxBody)},
+	} {
+		t.Run(fmt.Sprint(c.method, len(c.body)), func(t *testing.T) {
+			var came atomic.Int32
+			addr := standin.TCP(t, func(c net.Conn) {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; standin.ReadRequest(in) == nil; n++ {
+					came.Add(1)
+					if n == 1 { // the first on this connection is answered, the second is read and dropped
+						return
+					}
+					io.WriteString(c, ok("ok"))
+				}
+			})
+			p, to := usualPool(), &Route{Addr: addr}
+			defer p.Release(to, false)
+			if got, body := do(p, to, c.method, c.body); got != balance.OK || body != "ok" {
+				t.Fatalf("first: %d %q", got, body)
+			}
+			if got, _ := do(p, to, c.method, c.body); got != balance.Reset {
+				t.Errorf("second: %d, want a reset", got)
+			}
+			if n := came.Load(); n != 2 {
+				t.Errorf("%d requests came, want 2", n)
+			}
+		})
+	}
+}
+
+// What comes on a connection behind an answer, or while it is idle, was read as the answer
+// to the next request. The second request here must have an answer of its own.
+func TestNoStrayAnswers(t *testing.T) {
+	for name, stray := range map[string]string{"copy": ok("first"), "noise": "\x00\xff", "none": ""} {
+		for _, late := range []bool{false, true} {
+			came := make(chan struct{}, 2)
+			var conns atomic.Int32
+			addr := standin.TCP(t, func(c net.Conn) {
+				defer c.Close()
+				body := "first"
+				if conns.Add(1) > 1 {
+					body = "second"
+				}
+				in := bufio.NewReader(c)
+				for standin.ReadRequest(in) == nil {
+					if late {
+						io.WriteString(c, ok(body))
+						time.Sleep(time.Millisecond)
+						io.WriteString(c, stray)
+					} else {
+						io.WriteString(c, ok(body)+stray)
+					}
+					came <- struct{}{}
+					body = "second"
+				}
+			})
+			p, to := usualPool(), &Route{Addr: addr}
+			for _, want := range []string{"first", "second"} {
+				if got, body := do(p, to, "POST", "x"); got != balance.OK || body != want {
+					t.Errorf("%s, late %v: %d %q, want %q", name, late, got, body, want)
+				}
+				select {
+				case <-came:
+				case <-time.After(patience):
+					t.Fatal("no answer")
+				}
+			}
+			p.Release(to, false)
+			if n := conns.Load(); stray == "" && n != 1 || stray != "" && n != 2 {
+				t.Errorf("%s, late %v: %d connections", name, late, n)
+			}
+		}
+	}
+}
+
+// With all slots taken, the connection that was unused for longest gives way, and no
+// endpoint is to blame where none does.
+func TestConnectionsGiveWay(t *testing.T) {
+	hello := func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
+	p := newPool(2, 50*time.Millisecond, time.Hour)
+	var routes [3]*Route
+	for i := range routes {
+		routes[i] = &Route{Addr: standin.HTTP(t, hello)}
+		defer p.Release(routes[i], false)
+	}
+	for i, to := range routes {
+		if got, _ := do(p, to, "POST", ""); got != balance.OK {
+			t.Errorf("endpoint %d: result %d", i, got)
+		}
+	}
+	if c := p.take(routes[0]); c != nil {
+		t.Error("the connection unused for longest is still there")
+	}
+	held := []*conn{p.take(routes[1]), p.take(routes[2])}
+	if held[0] == nil || held[1] == nil {
+		t.Fatal("the others are not")
+	}
+	if got, _ := do(p, routes[0], "POST", ""); got != balance.NotSent {
+		t.Errorf("result %d with no slot left, want %d", got, balance.NotSent)
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	if got, _ := do(p, routes[0], "POST", ""); got != balance.OK {
+		t.Errorf("result %d with slots left", got)
+	}
+}
+
+// Connections that stand idle are closed before the endpoint closes them, also those that
+// fell idle later.
+func TestIdleConnectionsExpire(t *testing.T) {
+	p := newPool(100, 5*time.Second, 20*time.Millisecond)
+	to := &Route{Addr: standin.TCP(t, func(c net.Conn) { io.Copy(io.Discard, c) })}
+	for range 3 {
+		for range 2 {
+			c, err := p.dial(context.Background(), to)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.put(c)
+			time.Sleep(5 * time.Millisecond)
+		}
+		for end := time.Now().Add(patience); p.Open() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d connections are left", p.Open())
+			}
+		}
+	}
+}
+
+// reply answers one request on each connection with a text and closes it.
+func reply(t *testing.T, text string) string {
+	return standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		if standin.ReadRequest(bufio.NewReader(c)) == nil {
+			io.WriteString(c, text)
+		}
+	})
+}
+
+// endless answers with a start and more without end, and its connection stays open.
+func endless(t *testing.T, start, more string) string {
+	return standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		if standin.ReadRequest(bufio.NewReader(c)) != nil {
+			return
+		}
+		more := []byte(strings.Repeat(more, 1000))
+		for _, err := io.WriteString(c, start); err == nil; {
+			_, err = c.Write(more)
+		}
+	})
+}
+
+// An outcome that proves a request never ran lets it be sent again; in doubt, it may have run.
+func TestOutcomes(t *testing.T) {
+	silence := make(chan struct{}, 2)
+	silent := standin.TCP(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		if standin.ReadRequest(in) == nil {
+			silence <- struct{}{}
+		}
+		io.Copy(io.Discard, in)
+	})
+	half := standin.TCP(t, func(c net.Conn) { // stops half way, and its connection stays open
+		in := bufio.NewReader(c)
+		if standin.ReadRequest(in) == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+			silence <- struct{}{}
+		}
+		io.Copy(io.Discard, in)
+	})
+	cases := map[string]struct {
+		addr string
+		want balance.Result
+	}{
+		"served":          {reply(t, ok("ok")), balance.OK},
+		"empty":           {reply(t, ok("")), balance.OK},
+		"chunks":          {reply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\no\r\n1\r\nk\r\n0\r\nX: y\r\n\r\n"), balance.OK},
+		"error":           {reply(t, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"204":             {reply(t, "HTTP/1.1 204 No\r\n\r\n"), balance.Error},
+		"503":             {reply(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"503 not run":     {reply(t, "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
+		"504 not run":     {reply(t, "HTTP/1.1 504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Rejected},
+		"500 not run":     {reply(t, "HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), balance.Error},
+		"no answer":       {reply(t, ""), balance.Reset},
+		"half a header":   {reply(t, "HTTP/1.1 200 OK\r\nContent-Le"), balance.Reset},
+		"short body":      {reply(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), balance.Reset},
+		"short chunk":     {reply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok"), balance.Reset},
+		"no last chunk":   {reply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), balance.Reset},
+		"bad chunk":       {reply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nok"), balance.Error},
+		"bad trailer":     {reply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 5\r\n\r\n"), balance.Error},
+		"no HTTP":         {reply(t, "hello\r\n"), balance.Error},
+		"oversized":       {reply(t, "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"+strings.Repeat("x", 70000)), balance.Error},
+		"3 GB":            {endless(t, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x"), balance.Error},
+		"endless header":  {endless(t, "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"), balance.Error},
+		"endless line":    {endless(t, "HTTP/1.1 200 OK\r\nX: ", "x"), balance.Error},
+		"endless chunks":  {endless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), balance.Error},
+		"endless trailer": {endless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"), balance.Error},
+		"endless size":    {endless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;", "x"), balance.Error},
+		"endless 1xx":     {endless(t, "", "HTTP/1.1 102 Wait\r\n\r\n"), balance.Error},
+		"endless noise":   {endless(t, "", "\x00\xff"), balance.Error},
+		"endless body":    {endless(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x"), balance.Error},
+		"some 1xx":        {reply(t, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 3)+ok("ok")), balance.OK},
+		"100 1xx":         {reply(t, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)+ok("ok")), balance.Error},
+		"protocol change": {reply(t, "HTTP/1.1 101 Switching\r\n\r\nok"), balance.Error},
+		"two lengths":     {reply(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"), balance.Error},
+		"both lengths":    {reply(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), balance.Error},
+		"negative length": {reply(t, "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), balance.Error},
+		"no length":       {reply(t, "HTTP/1.1 200 OK\r\n\r\nok"), balance.Error},
+		"until the close": {reply(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"), balance.OK},
+		"bad report":      {reply(t, "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=?\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
+		"silent":          {silent, balance.Timeout},
+		"silent half way": {half, balance.Timeout},
+		"canceled":        {silent, balance.Canceled},
+		"barred at start": {silent, balance.NotSent},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String() // once all others listen, so that none gets its port
+	l.Close()
+	cases["refused"] = struct {
+		addr string
+		want balance.Result
+	}{closed, balance.ConnectFailed}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, x := usualPool(), new(Exchange)
+			x.Begin(p, &Route{Addr: c.addr}, time.Now().Add(patience), request("POST", "body"))
+			switch name {
+			case "barred at start":
+				x.Leave()
+			case "silent", "silent half way":
+				x.until = time.Now().Add(50 * time.Millisecond)
+			case "canceled":
+				go func() {
+					<-silence
+					x.End(ErrCanceled)
+				}()
+			}
+			got, body := carry(x)
+			if got != c.want || got == balance.OK && body != "ok" && name != "empty" {
+				t.Errorf("result %d, want %d; body %q", got, c.want, body)
+			}
+			if n := p.Open(); got != balance.OK && n != 0 && name[0] != '5' && name != "error" && name != "204" {
+				t.Errorf("%d connections are left", n)
+			}
+		})
+	}
+}
+
+// Once barred, a request does not go out on whatever connection there is for it.
+func TestBarredWritesNothing(t *testing.T) {
+	got := make(chan int, 1)
+	addr := standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		n, _ := c.Read(make([]byte, 1))
+		got <- n
+	})
+	p, to, x := usualPool(), &Route{Addr: addr}, new(Exchange)
+	x.Begin(p, to, time.Now().Add(patience), request("POST", "body"))
+	if !x.Dial() {
+		t.Fatal(x.Result())
+	}
+	x.Leave()
+	if x.Run(); x.Result() != balance.NotSent {
+		t.Errorf("result %d, want %d", x.Result(), balance.NotSent)
+	}
+	p.Release(to, false)
+	if n := <-got; n != 0 {
+		t.Error("it went out")
+	}
+}
+
+// A break before the request's last byte is written proves that it never ran, also where an
+// answer has come by then: it can't be to the whole request.
+func TestBreakWhileWriting(t *testing.T) {
+	for name, early := range map[string]string{"nothing": "", "an answer": ok("early")} {
+		addr := standin.TCP(t, func(c net.Conn) {
+			c.Read(make([]byte, 10))
+			io.WriteString(c, early)
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		})
+		p := usualPool()
+		x := new(Exchange)
+		// More than the buffers of two sockets hold.
+		x.Begin(p, &Route{Addr: addr}, time.Now().Add(patience), request("POST", strings.Repeat("x", 16<<20)))
+		if got, _ := carry(x); got != balance.ConnectFailed {
+			t.Errorf("%s: result %d, want %d", name, got, balance.ConnectFailed)
+		}
+	}
+}
+
+// An answer that comes before the request has been read is the answer, if the rest is read.
+func TestAnswersBeforeReading(t *testing.T) {
+	addr := standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		io.WriteString(c, ok("ok"))
+		io.Copy(io.Discard, c)
+	})
+	p, to := usualPool(), &Route{Addr: addr}
+	defer p.Release(to, false)
+	if got, body := do(p, to, "POST", strings.Repeat("x", 4<<20)); got != balance.OK || body != "ok" {
+		t.Errorf("result %d %q", got, body)
+	}
+}
+
+// An answer may be cut anywhere, and be read on by another goroutine after an interrupt.
+func TestInterruptAnywhere(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 103 Hints\r\n\r\n" + ok("0123456789"),
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n012\r\n7\r\n3456789\r\n0\r\n\r\n",
+		"close":  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n0123456789",
+	} {
+		for cut := range len(text) + 1 {
+			more := make(chan struct{})
+			addr := standin.TCP(t, func(c net.Conn) {
+				defer c.Close()
+				if standin.ReadRequest(bufio.NewReader(c)) == nil {
+					io.WriteString(c, text[:cut])
+					<-more
+					io.WriteString(c, text[cut:])
+				}
+			})
+			p, to, x := usualPool(), &Route{Addr: addr}, new(Exchange)
+			x.Begin(p, to, time.Now().Add(patience), request("POST", "x"))
+			if !x.Dial() {
+				t.Fatal(x.Result())
+			}
+			go func() {
+				x.Interrupt() // at whatever point it has come to
+				close(more)
+			}()
+			for !x.Run() {
+			}
+			if got := string(x.Body()); x.Result() != balance.OK || got != "0123456789" {
+				t.Fatalf("%s, cut at %d: %d %q", name, cut, x.Result(), got)
+			}
+			p.Release(to, false)
+		}
+	}
+}
+
+// A request that an endpoint is slow to read is interrupted and written on.
+func TestInterruptWhileWriting(t *testing.T) {
+	const size = 16 << 20
+	read := make(chan struct{})
+	addr := standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		<-read
+		if standin.ReadRequest(bufio.NewReader(c)) == nil {
+			io.WriteString(c, ok("ok"))
+		}
+	})
+	p, to, x := usualPool(), &Route{Addr: addr}, new(Exchange)
+	defer p.Release(to, false)
+	x.Begin(p, to, time.Now().Add(patience), request("POST", strings.Repeat("x", size)))
+	if !x.Dial() {
+		t.Fatal(x.Result())
+	}
+	interrupted := make(chan bool)
+	go func() { interrupted <- !x.Run() }()
+	for done := false; !done; {
+		x.Interrupt()
+		select {
+		case done = <-interrupted:
+			if !done {
+				t.Fatalf("over with %d", x.Result())
+			}
+		case <-time.After(time.Millisecond): // it may not have begun
+		}
+	}
+	close(read)
+	for !x.Run() {
+	}
+	if got := string(x.Body()); x.Result() != balance.OK || got != "ok" {
+		t.Errorf("%d %q", x.Result(), got)
+	}
+}
+
+// A connection on which the endpoint closes with its answer is not used again.
+func TestClosesWithAnswer(t *testing.T) {
+	var conns atomic.Int32
+	closed := make(chan struct{}, 2)
+	addr := standin.TCP(t, func(c net.Conn) {
+		conns.Add(1)
+		if standin.ReadRequest(bufio.NewReader(c)) == nil {
+			io.WriteString(c, ok("ok"))
+		}
+		c.Close()
+		closed <- struct{}{}
+	})
+	p, to := usualPool(), &Route{Addr: addr}
+	for range 2 {
+		if got, _ := do(p, to, "POST", "x"); got != balance.OK {
+			t.Errorf("result %d", got)
+		}
+		<-closed
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// discard is a connection that is nobody's.
+type discard struct{ net.Conn }
+
+func (discard) Close() error { return nil }
+
+// The pool of idle connections against a plain list of them: the one used last of a route is
+// taken, the one unused for longest of all gives way, and both views of the pool agree.
+func TestPoolModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(1000, time.Second, time.Hour)
+		routes := []*Route{{Addr: "a"}, {Addr: "b"}, {Addr: "c"}}
+		var model []*conn // idle, the one unused for longest first
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				p.slots <- struct{}{}
+				c := &conn{Conn: &sock.Conn{Conn: discard{}}, to: rapid.SampledFrom(routes).Draw(t, "route"), pool: p}
+				p.put(c)
+				if !c.to.closed {
+					model = append(model, c)
+				}
+			},
+			"take": func(t *rapid.T) {
+				to := rapid.SampledFrom(routes).Draw(t, "route")
+				var want *conn
+				for i := len(model) - 1; i >= 0 && want == nil; i-- {
+					if model[i].to == to {
+						want = model[i]
+						model = slices.Delete(model, i, i+1)
+					}
+				}
+				got := p.take(to)
+				if got != want {
+					t.Fatalf("took %p, want %p", got, want)
+				}
+				if got != nil {
+					got.Close()
+				}
+			},
+			"yield": func(t *rapid.T) {
+				var want *conn
+				if len(model) > 0 {
+					want, model = model[0], model[1:]
+				}
+				got := p.yield()
+				if got != want {
+					t.Fatalf("gave way: %p, want %p", got, want)
+				}
+				if got != nil {
+					got.Close()
+				}
+			},
+			"release": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(routes)-1).Draw(t, "route")
+				keep := rapid.Bool().Draw(t, "keep")
+				p.Release(routes[i], keep)
+				model = slices.DeleteFunc(model, func(c *conn) bool { return c.to == routes[i] })
+				if !keep { // a new process has a route of its own
+					routes[i] = &Route{Addr: routes[i].Addr}
+				}
+			},
+			"": func(t *rapid.T) {
+				sum, idle := 0, 0
+				for _, to := range routes {
+					sum += len(to.idle)
+				}
+				for c := p.oldest; c != nil; c = c.next {
+					idle++
+				}
+				if idle != len(model) || sum != len(model) || p.Open() != len(model) {
+					t.Fatalf("%d idle, %d by route, %d slots, want %d", idle, sum, p.Open(), len(model))
+				}
+			},
+		})
+	})
+}
+
+// Whatever an endpoint sends, the exchange ends, and what is served has a 200 and an end.
+func FuzzExchange(f *testing.F) {
+	for _, text := range []string{
+		ok("ok"), "HTTP/1.1 100 Go\r\n\r\n" + ok(""), "HTTP/1.0 200\r\n\r\nx",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\n\r\n", "", "\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { l.Close() })
+	f.Fuzz(func(t *testing.T, text []byte) {
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if standin.ReadRequest(bufio.NewReader(c)) == nil {
+				c.Write(text)
+			}
+		}()
+		p, to := usualPool(), &Route{Addr: l.Addr().String()}
+		got, body := do(p, to, "POST", "x")
+		if len(body) > maxBody || got == balance.ConnectFailed || got == balance.NotSent ||
+			got == balance.OK && !strings.Contains(string(text), " 200") {
+			t.Errorf("%q: result %d, %d bytes", text, got, len(body))
+		}
+		p.Release(to, false)
+		if p.Open() > 0 {
+			t.Errorf("%q: the connection is left open", text)
+		}
+	})
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("TEXT busy_reqs=7, pending=2, cpu_share=0.61")
+	f.Add("TEXT inflight=")
+	f.Fuzz(func(t *testing.T, text string) {
+		if l, ok := parseLoad([]byte(text)); ok && !(l.InFlight >= -1 && l.Queue >= -1 && l.Util >= -1) {
+			t.Errorf("%q: %+v", text, l)
+		}
+	})
+}
+
+// A report whose names were not known read as empty, and no endpoint as idle.
+func TestParseLoad(t *testing.T) {
+	for _, text := range []string{"TEXT busy_reqs=7, pending=2, cpu_share=0.61", "TEXT inflight=7, queue=2, util=0.61\r\n"} {
+		l, ok := parseLoad([]byte(text))
+		if !ok || l.InFlight != 7 || l.Queue != 2 || l.Util != 0.61 || l.Served != -1 {
+			t.Errorf("%q: %+v", text, l)
+		}
+	}
+	for _, text := range []string{"", "ok", "busy_reqs=1", "TEXT busy_reqs", "TEXT busy_reqs=x", "TEXT busy_reqs=-1", "TEXT busy_reqs=NaN"} {
+		if l, ok := parseLoad([]byte(text)); ok {
+			t.Errorf("%q: %+v, want none", text, l)
+		}
+	}
+}
