Save a system call, a deadline and most clock reads on each call

Change: the look that proves an idle connection quiet is the attempt to read that waiting for the answer begins with (sock.Ask); a connection that turns out stale is left before a byte was written, and another found. What can be written at once is, without a deadline. The engine reads its clock once an event, the door once a stage.

--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -48,7 +48,7 @@
 		if c.arrived.IsZero() {
 			wait = times.Head
 		}
-		c.SetReadDeadline(time.Now().Add(wait))
+		c.SetReadDeadline(c.since.Add(wait))
 		if err := d.fill(c); err != nil {
 			return err
 		}
@@ -58,7 +58,7 @@
 	n, err := c.head.Parse(c.buf.Bytes())
 	for began := false; n == 0 && err == nil; began = true {
 		if !began {
-			if !d.reached(c, partial) {
+			if !d.reached(c, partial, time.Now()) {
 				return errDone
 			}
 			c.SetReadDeadline(c.read.Add(times.Head))
@@ -86,7 +86,7 @@
 	}
 	text := c.buf.Bytes()
 	c.head.Moved(text)
-	if !d.reached(c, taken) {
+	if !d.reached(c, taken, c.read) {
 		return errDone
 	}
 	return d.answer(c, text[n:whole], whole)
@@ -94,7 +94,7 @@
 
 // body waits for the rest of a request.
 func (d *Door) body(c *conn, whole int) error {
-	if !d.reached(c, partial) {
+	if !d.reached(c, partial, time.Now()) {
 		return errDone
 	}
 	times := d.cfg.Times()
@@ -133,7 +133,7 @@
 
 // refuse answers a request that can't be used, and ends the connection.
 func (d *Door) refuse(c *conn, r *Refusal) error {
-	if !d.reached(c, partial) {
+	if !d.reached(c, partial, time.Now()) {
 		return errDone
 	}
 	x := &c.x
@@ -173,12 +173,13 @@
 	x.begin(body)
 	x.Close = c.head.Closes()
 	d.cfg.Handler.Serve(x)
-	// What has come by now was sent before its caller saw this answer, at what time is not
-	// known: the earliest is taken, so that its answer is not late.
-	ahead := time.Since(c.read) > aheadTime && !c.Quiet()
 	if x.out == nil {
 		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
 	}
+	// What has come by now was sent before its caller saw this answer, at what time is not
+	// known: the earliest is taken, so that its answer is not late.
+	c.since = x.at
+	ahead := c.since.Sub(c.read) > aheadTime && !c.Quiet()
 	err := d.write(c)
 	closes := x.Close
 	x.end()
@@ -206,7 +207,7 @@
 		c.arrived = came
 		return nil
 	}
-	if !d.reached(c, idle) {
+	if !d.reached(c, idle, c.since) {
 		return errDone
 	}
 	if d.draining.Load() && c.Quiet() { // Shutdown may have looked for idle ones before
@@ -218,9 +219,12 @@
 // aheadTime is a wait that a request which came ahead may be off by.
 const aheadTime = 5 * time.Millisecond
 
-// write writes the answer.
+// write writes the answer. Most need no waiting, and so no deadline.
 func (d *Door) write(c *conn) error {
-	c.SetWriteDeadline(time.Now().Add(d.cfg.Times().Write))
-	_, err := c.Write(c.x.out)
+	n, err := c.TryWrite(c.x.out)
+	if err == nil && n < len(c.x.out) {
+		c.SetWriteDeadline(time.Now().Add(d.cfg.Times().Write))
+		_, err = c.Write(c.x.out[n:])
+	}
 	return err
 }
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -94,6 +94,7 @@
 	buf     *http1.Buffer // nil while there is nothing in it
 	arrived time.Time     // when the first byte of the request came
 	read    time.Time     // the last time that something came
+	since   time.Time     // of the last answer, or of its begin
 	x       Exchange
 }
 
@@ -181,13 +182,13 @@
 	if err != nil {
 		return errors.Join(err, nc.Close())
 	}
-	c := &conn{Conn: s, head: http1.NewRequest(d.limits)}
+	c := &conn{Conn: s, head: http1.NewRequest(d.limits), since: time.Now()}
 	c.guest.conn, c.x.c, c.x.d = c, c, d
 	d.mu.Lock()
 	d.last++
 	c.number = d.last
 	d.conns[c.number] = c
-	d.places.enter(&c.guest, time.Now())
+	d.places.enter(&c.guest, c.since)
 	d.makeRoom(&c.guest)
 	d.mu.Unlock()
 	if err := d.watch.Add(s, c.number); err != nil && !errors.Is(err, net.ErrClosed) {
@@ -211,10 +212,10 @@
 }
 
 // reached notes the stage of a connection, and tells whether it is still in.
-func (d *Door) reached(c *conn, at stage) bool {
+func (d *Door) reached(c *conn, at stage, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.places.move(&c.guest, at, time.Now()) {
+	if !d.places.move(&c.guest, at, now) {
 		return false
 	}
 	if at != taken {
--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -15,6 +15,7 @@
 
 	d     *Door
 	c     *conn
+	at    time.Time // of the answer
 	out   []byte
 	owned *[]byte // of Door.outs, which out may have outgrown
 }
@@ -69,7 +70,8 @@
 	if contentType != "" {
 		b = http1.AppendField(b, "Content-Type", contentType)
 	}
-	b = x.d.appendDate(b)
+	x.at = time.Now()
+	b = x.d.appendDate(b, x.at)
 	if fields != nil {
 		b = fields(b)
 	}
@@ -86,8 +88,7 @@
 	field  []byte
 }
 
-func (d *Door) appendDate(b []byte) []byte {
-	now := time.Now()
+func (d *Door) appendDate(b []byte, now time.Time) []byte {
 	at := d.date.Load()
 	if at == nil || at.second != now.Unix() {
 		at = &date{now.Unix(), http1.AppendField(nil, "Date", now.UTC().Format(http.TimeFormat))}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -18,7 +18,8 @@
 	id     string
 	head   *http1.Request // and the body are the door's: valid until the call is answered
 	body   []byte
-	until  time.Time // its caller's time is up
+	until  time.Time     // its caller's time is up
+	last   time.Duration // the same on the module's clock
 
 	// Under Engine.mu.
 	answered bool
@@ -49,8 +50,8 @@
 	n        int
 	id       balance.EndpointID
 	endpoint *endpoint
-	slot     int // in endpoint.out
-	began    time.Time
+	slot     int           // in endpoint.out
+	began    time.Duration // on the module's clock
 }
 
 // calls is a pool of those that nobody points to any more.
@@ -86,19 +87,24 @@
 func (e *Engine) serve(c *call, gone bool) (f final, spent bool) {
 	x, answered := e.begin(c, gone)
 	for !answered {
-		switch {
-		case x == nil:
+		if x == nil {
 			x, answered = e.wait(c)
-		case !x.Ready(): // a connection that has to come up is waited for elsewhere
-			it := x
-			x, answered = e.free(c)
-			go e.dial(it)
-		case !x.Run(): // there is an answer, and this attempt is to go on beside it
-			it := x
+			continue
+		}
+		p := upstream.Unsent
+		for p == upstream.Unsent && x.Ready() {
+			p = x.Run()
+		}
+		it := x
+		switch p {
+		case upstream.Over:
+			x, answered = e.ended(x)
+		case upstream.Unsent: // a connection that has to come up is waited for elsewhere
 			x, answered = e.free(c)
 			go e.carry(it)
-		default:
-			x, answered = e.ended(x)
+		case upstream.Interrupted: // there is an answer, and this attempt is to go on beside it
+			x, answered = e.free(c)
+			go e.goOn(it)
 		}
 	}
 	e.mu.Lock()
@@ -116,6 +122,7 @@
 		return nil, true
 	}
 	c.attempts = c.few[:0]
+	c.last = e.epoch + c.until.Sub(e.origin)
 	e.last++
 	c.ID = e.last
 	e.calls[c.ID] = c
@@ -181,7 +188,7 @@
 	}
 	if x := c.next; x != nil {
 		c.next = nil
-		go e.dial(x)
+		go e.carry(x)
 	}
 	if c.inline != nil {
 		c.inline.Interrupt()
@@ -215,45 +222,41 @@
 	if len(c.attempts) > 0 {
 		x = new(attempt)
 	}
-	x.call, x.n, x.id, x.endpoint, x.began = c, len(c.attempts), a.Endpoint, to, time.Now()
+	x.call, x.n, x.id, x.endpoint, x.began = c, len(c.attempts), a.Endpoint, to, e.at
 	c.attempts = append(c.attempts, x)
 	c.out++
 	to.uses++
 	x.slot = len(to.out)
 	to.out = append(to.out, x)
-	until := e.at(a.Until)
-	if c.until.Before(until) {
-		until = c.until
-	}
-	x.Begin(e.pool, to.route, until, func(b []byte) []byte {
+	until := min(a.Until, c.last)
+	x.Begin(e.pool, to.route, e.on(until), func(b []byte) []byte {
 		if c.answered {
 			return b
 		}
-		return appendRequest(b, c, time.Until(until))
+		return appendRequest(b, c, until-e.at)
 	})
 	switch {
 	case c.answered || to.left:
 		x.Leave()
-		go e.dial(x)
+		go e.carry(x)
 	case c.next == nil && c.inline == nil:
 		c.next = x
 		e.rouse(c)
 	default:
-		go e.dial(x)
+		go e.carry(x)
 	}
 }
 
-// dial carries an attempt on a connection of its own, unless one has fallen idle by now.
-func (e *Engine) dial(x *attempt) {
-	if x.Ready() || x.Dial() {
-		x.Run()
-	}
+// carry carries an attempt in a goroutine of its own.
+func (e *Engine) carry(x *attempt) {
+	x.Carry()
 	e.ended(x)
 }
 
-// carry goes on with an attempt that was interrupted.
-func (e *Engine) carry(x *attempt) {
-	x.Run()
+// goOn goes on with an attempt that was interrupted.
+func (e *Engine) goOn(x *attempt) {
+	for x.Run() == upstream.Interrupted {
+	}
 	e.ended(x)
 }
 
@@ -276,11 +279,12 @@
 			x.Done()
 		}
 	}
+	now := e.now()
 	o := balance.Outcome{
 		Request: c.ID, Attempt: x.n, Endpoint: x.id, Result: result, Closed: c.answered,
-		Elapsed: time.Since(x.began), Load: x.Load(),
+		Elapsed: now - x.began, Load: x.Load(),
 	}
-	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
+	e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Ended(now, o, acts)
 	})
 	e.forget(c)
--- a/internal/sidecar/call_test.go
+++ b/internal/sidecar/call_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,6 +72,7 @@
 // call is carried on a connection that comes up, the second on one that stands idle.
 func TestAnswerBesideOwnAttempt(t *testing.T) {
 	began, finish := make(chan struct{}, 1), make(chan struct{})
+	release := sync.OnceFunc(func() { close(finish) })
 	var first atomic.Bool
 	p := start(t, testConfig(t, up(standin.HTTP(t, func(_ http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
@@ -80,6 +82,7 @@
 		began <- struct{}{}
 		<-finish
 	}))))
+	defer release() // before the node's end, which waits for its handlers
 	if resp, _ := p.send(p.request("book", "x")); resp.StatusCode != 200 {
 		t.Fatal(resp.Status)
 	}
@@ -105,7 +108,7 @@
 	case <-time.After(patience):
 		t.Fatal("it waits for its own attempt")
 	}
-	close(finish)
+	release()
 	drained(t, p.engine)
 }
 
@@ -121,9 +124,7 @@
 		t.Fatalf("%v %v: no attempt to carry", x, answered)
 	}
 	p.engine.abandon(c) // its caller goes between the decision and the first byte
-	if x.Ready() || x.Dial() {
-		x.Run()
-	}
+	x.Carry()
 	if _, answered := p.engine.ended(x); !answered || x.Result() != balance.NotSent {
 		t.Errorf("answered %v, result %d", answered, x.Result())
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -236,7 +236,7 @@
 	if age < time.Minute || age > time.Minute+patience {
 		t.Errorf("age %v, want a minute", age)
 	}
-	if got := e.at(e.now()); time.Until(got).Abs() > patience {
+	if got := e.on(e.now()); time.Until(got).Abs() > patience {
 		t.Errorf("now is %v on the machine's clock", got)
 	}
 }
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -30,6 +30,7 @@
 	calls     map[balance.RequestID]*call
 	last      balance.RequestID
 	actions   []balance.Action
+	at        time.Duration // of the event whose actions are carried out
 	timers    timers
 	clock     *time.Timer
 	armed     time.Duration // what the clock is set for, 0 for nothing
@@ -86,12 +87,18 @@
 // now is the time on the module's clock.
 func (e *Engine) now() time.Duration { return e.epoch + time.Since(e.origin) }
 
-// at is a time of the module's clock.
-func (e *Engine) at(t time.Duration) time.Time { return e.origin.Add(t - e.epoch) }
+// on is a time of the module's clock.
+func (e *Engine) on(t time.Duration) time.Time { return e.origin.Add(t - e.epoch) }
 
 // event gives the balancer an event and starts its actions.
 func (e *Engine) event(f func(now time.Duration, acts []balance.Action) []balance.Action) {
-	e.actions = f(e.now(), e.actions[:0])
+	e.eventAt(e.now(), f)
+}
+
+// eventAt is event where the time is known.
+func (e *Engine) eventAt(now time.Duration, f func(now time.Duration, acts []balance.Action) []balance.Action) {
+	e.at = now
+	e.actions = f(now, e.actions[:0])
 	for i := range e.actions {
 		e.act(&e.actions[i])
 	}
@@ -111,7 +118,7 @@
 	case balance.Fail:
 		e.answer(e.calls[a.Request], final{})
 	case balance.SetTimer:
-		e.timers.push(due{e.now() + a.Delay, a.Timer})
+		e.timers.push(due{e.at + a.Delay, a.Timer})
 	case balance.Probe:
 		e.probe(a.Endpoint)
 	case balance.Release:
--- a/internal/sidecar/timers.go
+++ b/internal/sidecar/timers.go
@@ -60,7 +60,7 @@
 		return
 	}
 	e.armed = e.timers[0].at
-	delay := max(e.armed-e.now(), 0)
+	delay := max(e.armed-e.at, 0)
 	if e.clock == nil {
 		e.clock = time.AfterFunc(delay, e.ring)
 	} else {
@@ -73,11 +73,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.armed = 0
-	for len(e.timers) > 0 && e.timers[0].at <= e.now() {
+	for now := e.now(); len(e.timers) > 0 && e.timers[0].at <= now; {
 		t := e.timers.pop().timer
-		e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
+		e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
 			return e.balancer.Fired(now, t, acts)
 		})
 	}
+	e.at = e.now()
 	e.arm()
 }
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -21,11 +21,15 @@
 	raw  syscall.RawConn
 	bufs *http1.Buffers
 
-	// What a read hands to try, which is made once: a closure for each would be garbage.
-	try  func(fd uintptr) bool
-	into *http1.Buffer
-	n    int
-	err  error
+	// What a call hands to the functions that the runtime calls with the descriptor, which are
+	// made once: a closure for each call would be garbage.
+	try, ask, put func(fd uintptr) bool
+	into          *http1.Buffer
+	n             int
+	err           error
+	out           []byte
+	sent          int
+	asked, stale  bool
 
 	look  func(fd uintptr)
 	quiet atomic.Bool
@@ -45,7 +49,11 @@
 		return nil, err
 	}
 	s := &Conn{Conn: c, raw: raw, bufs: bufs}
-	s.try, s.look = s.read, s.peek
+	s.try, s.ask, s.look = s.read, s.askOnce, s.peek
+	s.put = func(fd uintptr) bool {
+		s.write(fd)
+		return true
+	}
 	return s, nil
 }
 
@@ -54,7 +62,13 @@
 func (s *Conn) Fill(b *http1.Buffer) (*http1.Buffer, error) {
 	s.into = b
 	err := s.raw.Read(s.try)
-	b, s.into = s.into, nil
+	return s.filled(err)
+}
+
+// filled returns what a read has come to.
+func (s *Conn) filled(err error) (*http1.Buffer, error) {
+	b := s.into
+	s.into = nil
 	switch {
 	case err != nil:
 		return b, err
@@ -66,6 +80,63 @@
 	return b, nil
 }
 
+// Ask writes a request and reads the first of what comes back, as Write and Fill would, on a
+// connection that must be quiet: stale tells that it was not, and nothing has been written. It
+// returns early, with no buffer and no error, if not all could be written at once. The look
+// that proves the connection quiet is the attempt to read that waiting begins with anyway:
+// that saves a system call for each request.
+func (s *Conn) Ask(p []byte) (sent int, stale bool, b *http1.Buffer, err error) {
+	s.out, s.sent, s.asked, s.stale, s.into, s.n, s.err = p, 0, false, false, nil, 0, nil
+	err = s.raw.Read(s.ask)
+	s.out = nil
+	if s.stale || err == nil && s.sent < len(p) {
+		return s.sent, s.stale, nil, s.err
+	}
+	b, err = s.filled(err)
+	return s.sent, false, b, err
+}
+
+func (s *Conn) askOnce(fd uintptr) bool {
+	if s.asked {
+		return s.read(fd)
+	}
+	s.asked = true
+	if s.peek(fd); !s.quiet.Load() {
+		s.stale = true
+		return true
+	}
+	return !s.write(fd) || s.sent < len(s.out) // else the answer is waited for
+}
+
+// TryWrite writes what can be written without waiting.
+func (s *Conn) TryWrite(p []byte) (n int, err error) {
+	s.out, s.sent, s.err = p, 0, nil
+	err = s.raw.Write(s.put)
+	s.out = nil
+	if err == nil && s.err != nil {
+		err = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", s.err)}
+	}
+	return s.sent, err
+}
+
+// write writes once without waiting, and tells whether that did not fail.
+func (s *Conn) write(fd uintptr) bool {
+	for {
+		n, err := syscall.Write(int(fd), s.out)
+		switch err {
+		case nil:
+			s.sent = n
+		case syscall.EINTR:
+			continue
+		case syscall.EAGAIN:
+		default:
+			s.err = err
+			return false
+		}
+		return true
+	}
+}
+
 // read reads if that needs no waiting, and tells whether it did.
 func (s *Conn) read(fd uintptr) bool {
 	b := s.into
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -30,13 +30,15 @@
 )
 
 // Exchange is one request to an endpoint and its answer. One goroutine at a time carries it, by
-// Ready or Dial and then Run; End, Leave and Interrupt may be called by any.
+// Ready or Dial and then Run, as Run says; End, Leave and Interrupt may be called by any.
 type Exchange struct {
 	pool  *Pool
 	to    *Route
 	until time.Time
 	out   *http1.Buffer // what is still to be written; nil once it has been
 	conn  *conn         // nil before there is one, and once it is over
+	fresh bool          // conn has carried nothing before
+	asked bool          // the request has begun to be written
 
 	mu          sync.Mutex
 	state       int
@@ -44,6 +46,7 @@
 	dialing     context.CancelFunc // while it is
 	bound       *conn              // that Interrupt and End may touch
 	interrupted bool
+	left        bool // Leave was called
 
 	// The answer, as far as it has come.
 	head    http1.Answer
@@ -65,16 +68,21 @@
 // route and answered before until. What it held before is dropped.
 func (x *Exchange) Begin(p *Pool, to *Route, until time.Time, compose func(b []byte) []byte) {
 	x.pool, x.to, x.until = p, to, until
-	x.state, x.cause, x.interrupted, x.bound, x.conn = waiting, nil, false, nil, nil
+	x.state, x.cause, x.interrupted, x.left, x.bound, x.conn, x.asked = waiting, nil, false, false, nil, nil, false
 	x.interim, x.headLen, x.framing, x.text, x.body = 0, 0, http1.None, nil, nil
 	x.loaded = false
+	x.limits = p.cfg.Limits()
+	x.head.Limits = http1.DefaultLimits
+	x.head.Limits.Head = x.limits.Head
+	x.head.Reset()
 	x.out = p.bufs.Get()
 	x.out.Compose(compose)
 }
 
 // Ready takes a connection that stands idle, and tells whether there was one. It does not wait.
 func (x *Exchange) Ready() bool {
-	x.conn = x.pool.ready(x.to)
+	x.conn = x.pool.take(x.to)
+	x.fresh = false
 	return x.conn != nil
 }
 
@@ -95,59 +103,105 @@
 	x.mu.Lock()
 	x.dialing = nil
 	x.mu.Unlock()
+	x.fresh = true
 	if err != nil {
 		x.fail(false, err)
 	}
 	return err == nil
 }
 
-// Run carries the exchange on its connection. It returns false if it was interrupted: then it
-// goes on with the next Run. Else it is over, and its connection is back in the pool or closed.
-func (x *Exchange) Run() bool {
+// Progress is what Run has come to.
+type Progress int
+
+// What Run may come to.
+const (
+	Over        Progress = iota // the exchange has ended; its connection is back in the pool or closed
+	Interrupted                 // it goes on with the next Run
+	Unsent                      // the idle connection was none any more: Ready or Dial is to find another
+)
+
+// Run carries the exchange on its connection.
+func (x *Exchange) Run() Progress {
 	if !x.bind() {
 		x.pool.put(x.conn)
 		x.conn = nil
 		x.fail(false, ErrLeft)
-		return true
+		return Over
 	}
-	for x.out != nil {
-		n, err := x.conn.Write(x.out.Bytes())
+	if x.out != nil && !x.asked {
+		x.asked = true
+		n, stale, buf, err := x.conn.Ask(x.out.Bytes())
+		if stale && !x.fresh {
+			x.unsent()
+			return Unsent
+		}
+		x.buf = buf
 		x.out.Skip(n)
+		if x.out.Len() == 0 {
+			x.written()
+		}
 		if err != nil {
-			if x.paused() {
-				return false
-			}
-			x.over(false, err) // the endpoint has not got the last byte
-			return true
+			return x.broke(err)
 		}
-		x.pool.bufs.Put(x.out)
-		x.out = nil
+	}
+	for x.out != nil {
+		x.armWrite()
+		n, err := x.conn.Write(x.out.Bytes())
+		if x.out.Skip(n); err != nil {
+			return x.broke(err)
+		}
+		x.written()
 	}
 	for {
 		whole, err := x.parse()
 		switch {
 		case whole:
 			x.complete()
-			return true
+			return Over
 		case err != nil:
 			x.over(true, spoilt{err})
-			return true
-		}
-		if x.buf, err = x.conn.Fill(x.buf); err == nil {
-			continue
-		}
-		if x.paused() {
-			return false
+			return Over
 		}
-		if err == io.EOF && x.headLen > 0 && x.framing == http1.UntilClose {
-			x.complete()
-			return true
+		if x.buf, err = x.conn.Fill(x.buf); err != nil {
+			return x.broke(err)
 		}
-		x.over(true, err)
-		return true
 	}
 }
 
+// broke takes the end of a read or write: an interrupt, the end of a body that ends so, or a
+// failure. What has not been written whole has not run.
+func (x *Exchange) broke(err error) Progress {
+	switch {
+	case x.paused():
+		return Interrupted
+	case err == io.EOF && x.headLen > 0 && x.framing == http1.UntilClose:
+		x.complete()
+	default:
+		x.over(x.out == nil, err)
+	}
+	return Over
+}
+
+// written notes that the last byte has been written.
+func (x *Exchange) written() {
+	x.pool.bufs.Put(x.out)
+	x.out = nil
+}
+
+// unsent gives up a connection on which something had come, or its end, before a byte of the
+// request was written.
+func (x *Exchange) unsent() {
+	x.mu.Lock()
+	x.bound, x.asked = nil, false
+	x.state = waiting
+	if x.left || x.cause != nil { // meanwhile
+		x.end(ErrLeft)
+	}
+	x.mu.Unlock()
+	x.conn.Close()
+	x.conn = nil
+}
+
 // bind makes the connection the exchange's, unless it has been barred or ended. It is what a
 // request has to pass before its first byte goes out.
 func (x *Exchange) bind() bool {
@@ -158,11 +212,20 @@
 	}
 	x.state, x.bound, x.interrupted = writing, x.conn, false
 	if x.cause == nil {
-		x.conn.SetDeadline(x.until)
+		x.conn.SetReadDeadline(x.until)
 	}
 	return true
 }
 
+// armWrite bounds the writing of a request that can't be written at once.
+func (x *Exchange) armWrite() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cause == nil && !x.interrupted {
+		x.conn.SetWriteDeadline(x.until)
+	}
+}
+
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
@@ -195,6 +258,7 @@
 func (x *Exchange) Leave() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.left = true
 	if x.state == waiting {
 		x.end(ErrLeft)
 	}
@@ -277,12 +341,6 @@
 // parse takes what has come of the answer, and tells whether it is whole.
 func (x *Exchange) parse() (whole bool, err error) {
 	if x.buf == nil {
-		if x.headLen == 0 && x.interim == 0 {
-			x.limits = x.pool.cfg.Limits()
-			x.head.Limits = http1.DefaultLimits
-			x.head.Limits.Head = x.limits.Head
-			x.head.Reset()
-		}
 		return false, nil
 	}
 	for x.headLen == 0 {
@@ -403,6 +461,20 @@
 // Done gives back what an answer is held in.
 func (x *Exchange) Done() { x.drop() }
 
+// Carry carries an exchange to its end, on whatever connection there is. It waits for one to
+// come up if it must, and goes on through interrupts.
+func (x *Exchange) Carry() {
+	for x.Ready() || x.Dial() {
+		p := x.Run()
+		for p == Interrupted {
+			p = x.Run()
+		}
+		if p == Over {
+			return
+		}
+	}
+}
+
 // Probe asks a route for its load, or where there are no reports whether it is well.
 func (p *Pool) Probe(to *Route, path string, within time.Duration) (balance.Result, *balance.Load) {
 	x := new(Exchange)
@@ -410,9 +482,7 @@
 		b = http1.AppendRequestLine(b, []byte(http.MethodGet), []byte(path))
 		return http1.AppendEnd(http1.AppendField(b, "Host", to.Addr))
 	})
-	if x.Ready() || x.Dial() {
-		x.Run()
-	}
+	x.Carry()
 	defer x.Done()
 	load := x.Load()
 	if x.result == balance.OK && load == nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -79,18 +79,6 @@
 // errNoSlot says that a connection can't be opened for a reason that lies on this side.
 var errNoSlot = errors.New("no descriptor left for a connection")
 
-// ready returns an idle connection to a route that nothing is left to read on: neither its end
-// nor bytes, which would be read as the answer to the next request. It is nil if there is none.
-func (p *Pool) ready(to *Route) *conn {
-	for c := p.take(to); c != nil; c = p.take(to) {
-		if c.Quiet() {
-			return c
-		}
-		c.Close()
-	}
-	return nil
-}
-
 // take removes and returns the idle connection to a route that was used last, or nil.
 func (p *Pool) take(to *Route) *conn {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -52,10 +52,7 @@
 }
 
 func carry(x *Exchange) (balance.Result, string) {
-	if x.Ready() || x.Dial() {
-		for !x.Run() {
-		}
-	}
+	x.Carry()
 	defer x.Done()
 	return x.Result(), string(x.Body())
 }
@@ -224,22 +221,20 @@
 
 // An outcome that proves a request never ran lets it be sent again; in doubt, it may have run.
 func TestOutcomes(t *testing.T) {
-	silence := make(chan struct{}, 2)
-	silent := standin.TCP(t, func(c net.Conn) {
-		in := bufio.NewReader(c)
-		if standin.ReadRequest(in) == nil {
-			silence <- struct{}{}
-		}
-		io.Copy(io.Discard, in)
-	})
-	half := standin.TCP(t, func(c net.Conn) { // stops half way, and its connection stays open
-		in := bufio.NewReader(c)
-		if standin.ReadRequest(in) == nil {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
-			silence <- struct{}{}
-		}
-		io.Copy(io.Discard, in)
-	})
+	came := make(chan struct{}, 1)
+	stops := func(text string, came chan struct{}) string { // and its connection stays open
+		return standin.TCP(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			if standin.ReadRequest(in) == nil {
+				io.WriteString(c, text)
+				if came != nil {
+					came <- struct{}{}
+				}
+			}
+			io.Copy(io.Discard, in)
+		})
+	}
+	silent, half := stops("", nil), stops("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", nil)
 	cases := map[string]struct {
 		addr string
 		want balance.Result
@@ -282,7 +277,7 @@
 		"bad report":      {reply(t, "HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=?\r\nContent-Length: 2\r\n\r\nok"), balance.OK},
 		"silent":          {silent, balance.Timeout},
 		"silent half way": {half, balance.Timeout},
-		"canceled":        {silent, balance.Canceled},
+		"canceled":        {stops("", came), balance.Canceled},
 		"barred at start": {silent, balance.NotSent},
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -306,7 +301,7 @@
 				x.until = time.Now().Add(50 * time.Millisecond)
 			case "canceled":
 				go func() {
-					<-silence
+					<-came
 					x.End(ErrCanceled)
 				}()
 			}
@@ -404,7 +399,7 @@
 				x.Interrupt() // at whatever point it has come to
 				close(more)
 			}()
-			for !x.Run() {
+			for x.Run() != Over {
 			}
 			if got := string(x.Body()); x.Result() != balance.OK || got != "0123456789" {
 				t.Fatalf("%s, cut at %d: %d %q", name, cut, x.Result(), got)
@@ -432,7 +427,7 @@
 		t.Fatal(x.Result())
 	}
 	interrupted := make(chan bool)
-	go func() { interrupted <- !x.Run() }()
+	go func() { interrupted <- x.Run() == Interrupted }()
 	for done := false; !done; {
 		x.Interrupt()
 		select {
@@ -444,7 +439,7 @@
 		}
 	}
 	close(read)
-	for !x.Run() {
+	for x.Run() != Over {
 	}
 	if got := string(x.Body()); x.Result() != balance.OK || got != "ok" {
 		t.Errorf("%d %q", x.Result(), got)
