Put the engine in a package of its own, apart from callers and their door

Need: internal/sidecar still held the engine beside what requests are about, and its tests reached into both.

Change: internal/engine has the module, its clock, calls, attempts, timers and lists, and knows nothing of connections of callers: it is handed a Call and returns a Final. Stats and Endpoint tell what it holds. The door hands a connection over (Hijack) with what was read behind the request; its place stays taken until it is closed. The configuration for tests stands in internal/standin, once.

--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -22,6 +22,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"barleydrum.example/barleydrum/internal/engine"
 	"barleydrum.example/barleydrum/internal/sidecar"
 )
 
@@ -67,7 +68,7 @@
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * cfg.Settings.Limits.Heap))
 	slog.SetDefault(slog.With("name", cfg.Name))
 
-	engine, err := sidecar.NewEngine(cfg)
+	decider, err := engine.New(cfg)
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,7 @@
 		}
 		listeners = append(listeners, l)
 	}
-	server, err := sidecar.NewServer(cfg, engine)
+	server, err := sidecar.NewServer(cfg, decider)
 	if err != nil {
 		return err
 	}
@@ -87,12 +88,12 @@
 	for _, l := range listeners {
 		go func() { served <- server.Serve(l) }()
 	}
-	discovery := sidecar.NewDiscovery(cfg, engine)
+	discovery := sidecar.NewDiscovery(cfg, decider)
 	go discovery.Run(context.Background()) // also while the last requests are answered
 	go func() {
 		running := running{source: source, started: cfg, settings: cfg.Settings}
 		for range hangup {
-			running.reload(engine, discovery)
+			running.reload(decider, discovery)
 		}
 	}()
 
--- a/cmd/barleydrum/settings.go
+++ b/cmd/barleydrum/settings.go
@@ -8,6 +8,7 @@
 
 	"barleydrum.example/barleydrum/internal/check"
 	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/engine"
 	"barleydrum.example/barleydrum/internal/sidecar"
 )
 
@@ -72,7 +73,7 @@
 
 // reload follows the discovery that the configuration names now, and has those settings take
 // effect that need no restart. If any of it can't be used, all stays as it is.
-func (r *running) reload(e *sidecar.Engine, d *sidecar.Discovery) {
+func (r *running) reload(e *engine.Engine, d *sidecar.Discovery) {
 	cfg, err := r.source.again()
 	if err != nil {
 		slog.Error("reload: keeping the configuration at hand", "err", err)
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -26,9 +26,10 @@
 		if fault := recover(); fault != nil { // one request's, which the others outlive
 			slog.Error("door: panic", "fault", fault, "stack", string(debug.Stack()))
 		}
-		c.Close()
-		d.leave(c)
-		<-d.slots
+		if !c.hijacked {
+			c.Close()
+			d.forget(c)
+		}
 	}()
 	for {
 		if err := d.next(c); err != nil {
@@ -172,7 +173,12 @@
 	x := &c.x
 	x.begin(body)
 	x.Close = c.head.Closes()
+	c.whole = whole
 	d.cfg.Handler.Serve(x)
+	if c.hijacked {
+		x.end()
+		return errDone
+	}
 	if x.out == nil {
 		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -95,7 +95,10 @@
 	arrived time.Time     // when the first byte of the request came
 	read    time.Time     // the last time that something came
 	since   time.Time     // of the last answer, or of its begin
-	x       Exchange
+	whole   int           // bytes of the request that is being answered
+
+	hijacked bool // the connection is another's
+	x        Exchange
 }
 
 // New returns a Door.
@@ -199,6 +202,12 @@
 	return nil
 }
 
+// forget forgets a connection and gives its place back.
+func (d *Door) forget(c *conn) {
+	d.leave(c)
+	<-d.slots
+}
+
 // leave forgets a connection.
 func (d *Door) leave(c *conn) {
 	d.mu.Lock()
--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -1,7 +1,9 @@
 package door
 
 import (
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"barleydrum.example/barleydrum/internal/http1"
@@ -82,6 +84,40 @@
 	x.out = append(b, body...)
 }
 
+// Raw is a connection that its door has handed over. Its reader gets first what had been read
+// behind the request. It keeps its place, and Shutdown waits for it, until Close.
+type Raw struct {
+	net.Conn
+	rest  []byte
+	leave func()
+}
+
+// Hijack hands the connection over, as it is once Serve returns: the door neither answers on it
+// nor reads or closes it any more. It must be closed.
+func (x *Exchange) Hijack() *Raw {
+	c := x.c
+	c.hijacked = true
+	x.Unwatch()
+	c.SetDeadline(time.Time{})
+	rest := c.buf.Bytes()[c.whole:]
+	return &Raw{Conn: c.Conn, rest: append([]byte(nil), rest...), leave: sync.OnceFunc(func() { x.d.forget(c) })}
+}
+
+func (r *Raw) Read(p []byte) (int, error) {
+	if len(r.rest) > 0 {
+		n := copy(p, r.rest)
+		r.rest = r.rest[n:]
+		return n, nil
+	}
+	return r.Conn.Read(p)
+}
+
+// Close closes the connection and gives its place back.
+func (r *Raw) Close() error {
+	defer r.leave()
+	return r.Conn.Close()
+}
+
 // date is a Date field for one second.
 type date struct {
 	second int64
--- a/internal/sidecar/call.go
+++ b/internal/engine/call.go
@@ -1,7 +1,8 @@
-package sidecar
+package engine
 
 import (
-	"sync"
+	"net/http"
+	"strconv"
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
@@ -9,21 +10,22 @@
 	"barleydrum.example/barleydrum/internal/upstream"
 )
 
-// call is a caller's request, until its last attempt has ended. Its goroutine is the caller's
-// connection's: it carries the first attempt itself, and every later one that begins while it
-// has nothing else to carry.
-type call struct {
-	balance.Request
+// Call is a request, until its last attempt has ended. The goroutine that serves it carries the
+// first attempt itself, and every later one that begins while it has nothing else to carry.
+type Call struct {
+	balance.Request // but for its ID
+
+	Name  string         // the request's id, for whoever made the call
+	Head  *http1.Request // and the body need hold until Serve returns
+	Body  []byte
+	Until time.Time // its caller's time is up
+
 	engine *Engine
-	id     string
-	head   *http1.Request // and the body are the door's: valid until the call is answered
-	body   []byte
-	until  time.Time     // its caller's time is up
-	last   time.Duration // the same on the module's clock
+	last   time.Duration // Until on the module's clock
 
 	// Under Engine.mu.
 	answered bool
-	final    final
+	final    Final
 	attempts []*attempt
 	out      int
 	next     *attempt // for its goroutine to carry
@@ -36,17 +38,17 @@
 	few   [2]*attempt
 }
 
-// final is a final answer.
-type final struct {
-	served     *attempt // whose answer it is
-	refused    bool
-	retryAfter time.Duration
+// Final is a final answer: served, refused, or neither: failed.
+type Final struct {
+	Served     *upstream.Exchange // whose answer it is, until Done; nil if it was not served
+	Refused    bool               // trying again is harmless
+	RetryAfter time.Duration      // when to come back, 0 for no advice
 }
 
 // attempt is one sending of a call.
 type attempt struct {
 	upstream.Exchange
-	call     *call
+	call     *Call
 	n        int
 	id       balance.EndpointID
 	endpoint *endpoint
@@ -54,37 +56,45 @@
 	began    time.Duration // on the module's clock
 }
 
-// calls is a pool of those that nobody points to any more.
-type calls struct{ pool sync.Pool }
-
-func (p *calls) get() *call {
-	c, ok := p.pool.Get().(*call)
+// NewCall returns a call to be filled in. Done is owed.
+func (e *Engine) NewCall() *Call {
+	c, ok := e.spent.Get().(*Call)
 	if !ok {
-		c = &call{wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
+		c = &Call{wake: make(chan struct{}, 1), timer: time.NewTimer(time.Hour)}
 		c.timer.Stop()
 	}
+	c.engine = e
 	return c
 }
 
-// put takes a call back. All its attempts have ended.
-func (p *calls) put(c *call) {
+// Done takes a call back whose final answer, if it has one, has been passed on.
+func (e *Engine) Done(c *Call) {
+	if c.final.Served != nil {
+		c.final.Served.Done()
+	}
+	e.mu.Lock()
+	out := c.out
+	e.mu.Unlock()
+	if out > 0 {
+		return // its attempts still point to it
+	}
 	select {
 	case <-c.wake:
 	default:
 	}
-	c.Request, c.engine, c.id, c.head, c.body = balance.Request{}, nil, "", nil, nil
-	c.answered, c.final, c.out, c.next, c.inline, c.waiting = false, final{}, 0, nil, nil, false
+	c.Request, c.Name, c.Head, c.Body, c.Until = balance.Request{}, "", nil, nil, time.Time{}
+	c.engine, c.answered, c.final, c.next, c.inline, c.waiting = nil, false, Final{}, nil, nil, false
 	c.attempts, c.few = nil, [2]*attempt{}
 	c.first.call, c.first.endpoint = nil, nil
-	p.pool.Put(c)
+	e.spent.Put(c)
 }
 
 // Leave tells the engine that the caller has gone, see door.Leaver.
-func (c *call) Leave() { c.engine.abandon(c) }
+func (c *Call) Leave() { c.engine.abandon(c) }
 
-// serve hands a call to the balancer and returns its final answer, and whether the call has no
-// attempt out any more. The caller may have gone by now.
-func (e *Engine) serve(c *call, gone bool) (f final, spent bool) {
+// Serve hands a call to the balancer and returns its final answer. gone tells that the caller
+// has gone by now; Leave tells it later.
+func (e *Engine) Serve(c *Call, gone bool) Final {
 	x, answered := e.begin(c, gone)
 	for !answered {
 		if x == nil {
@@ -109,12 +119,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return c.final, c.out == 0
+	return c.final
 }
 
 // begin hands a call to the balancer. It returns the attempt to carry, or nil for none yet, and
 // whether the call has been answered.
-func (e *Engine) begin(c *call, gone bool) (next *attempt, answered bool) {
+func (e *Engine) begin(c *Call, gone bool) (next *attempt, answered bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock() // the door outlives a panic, which must not leave the lock taken
 	if gone || c.answered {
@@ -122,7 +132,7 @@
 		return nil, true
 	}
 	c.attempts = c.few[:0]
-	c.last = e.epoch + c.until.Sub(e.origin)
+	c.last = e.epoch + c.Until.Sub(e.origin)
 	e.last++
 	c.ID = e.last
 	e.calls[c.ID] = c
@@ -133,7 +143,7 @@
 }
 
 // poll returns what the goroutine of a call is to do next. It holds the lock.
-func (e *Engine) poll(c *call) (next *attempt, answered bool) {
+func (e *Engine) poll(c *Call) (next *attempt, answered bool) {
 	c.inline = c.next
 	c.next = nil
 	c.waiting = c.inline == nil && !c.answered
@@ -141,15 +151,15 @@
 }
 
 // free has the goroutine of a call carry nothing any more.
-func (e *Engine) free(c *call) (next *attempt, answered bool) {
+func (e *Engine) free(c *Call) (next *attempt, answered bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.poll(c)
 }
 
 // wait waits for something to do, or until the caller's time is up: then the call has failed.
-func (e *Engine) wait(c *call) (next *attempt, answered bool) {
-	c.timer.Reset(time.Until(c.until))
+func (e *Engine) wait(c *Call) (next *attempt, answered bool) {
+	c.timer.Reset(time.Until(c.Until))
 	select {
 	case <-c.wake:
 		c.timer.Stop()
@@ -160,7 +170,7 @@
 }
 
 // abandon ends a call whose caller has gone or whose time is up, unless it has its answer.
-func (e *Engine) abandon(c *call) {
+func (e *Engine) abandon(c *Call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.answered {
@@ -170,7 +180,7 @@
 		c.answered = true
 		return
 	}
-	e.answer(c, final{})
+	e.answer(c, Final{})
 	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Abandoned(now, c.ID, acts)
 	})
@@ -178,7 +188,7 @@
 
 // answer gives a call its final answer, unless it has one. What waits to go out does not go
 // out any more.
-func (e *Engine) answer(c *call, f final) {
+func (e *Engine) answer(c *Call, f Final) {
 	if c == nil || c.answered {
 		return
 	}
@@ -198,7 +208,7 @@
 }
 
 // rouse has the goroutine of a call look for what to do, if it waits.
-func (e *Engine) rouse(c *call) {
+func (e *Engine) rouse(c *Call) {
 	if c.waiting {
 		c.waiting = false
 		c.wake <- struct{}{}
@@ -206,7 +216,7 @@
 }
 
 // forget drops a call that nothing more can come of.
-func (e *Engine) forget(c *call) {
+func (e *Engine) forget(c *Call) {
 	if c.answered && c.out == 0 {
 		delete(e.calls, c.ID)
 	}
@@ -274,7 +284,7 @@
 	result := x.Result()
 	if result == balance.OK {
 		if !c.answered {
-			e.answer(c, final{served: x})
+			e.answer(c, Final{Served: &x.Exchange})
 		} else {
 			x.Done()
 		}
@@ -299,3 +309,22 @@
 	}
 	return nil, false
 }
+
+// appendRequest appends a call's request as it goes to an endpoint, which is waited for so long.
+// What is not the protocol's own goes on as it came; the body is framed anew.
+func appendRequest(b []byte, c *Call, wait time.Duration) []byte {
+	r := c.Head
+	b = http1.AppendRequestLine(b, r.Method(), r.Target())
+	for i := range r.Len() {
+		if f := r.Field(i); !http1.Is(f.Name, "X-Timeout") && r.EndToEnd(f.Name) {
+			b = http1.AppendParsed(b, f)
+		}
+	}
+	b = append(b, "X-Timeout: "...)
+	b = strconv.AppendInt(b, max(wait.Microseconds(), 1), 10)
+	b = append(b, "u\r\n"...)
+	if len(c.Body) > 0 || string(r.Method()) != http.MethodGet {
+		b = http1.AppendLength(b, int64(len(c.Body)))
+	}
+	return append(http1.AppendEnd(b), c.Body...)
+}
--- a/internal/sidecar/engine.go
+++ b/internal/engine/engine.go
@@ -1,4 +1,8 @@
-package sidecar
+// Package engine has the decision module decide. It owns the module and its clock, hands it what
+// happens under one lock, and carries out what it says: attempts by way of upstream, probes,
+// timers, final answers. It knows nothing of callers' connections: whoever has a request hands
+// it a [Call] and gets a [Final].
+package engine
 
 import (
 	"cmp"
@@ -22,12 +26,13 @@
 	settings   *live
 	subscribed chan struct{} // the module wants a watch
 	ready      atomic.Bool   // it knows of endpoints
+	spent      sync.Pool     // of *Call
 
 	mu        sync.Mutex
 	balancer  *balance.Balancer
 	names     *names
 	endpoints map[balance.EndpointID]*endpoint
-	calls     map[balance.RequestID]*call
+	calls     map[balance.RequestID]*Call
 	last      balance.RequestID
 	actions   []balance.Action
 	at        time.Duration // of the event whose actions are carried out
@@ -48,8 +53,8 @@
 	out     []*attempt
 }
 
-// NewEngine returns an Engine that knows the list in its configuration.
-func NewEngine(c *config.Config) (*Engine, error) {
+// New returns an Engine that knows the list in its configuration.
+func New(c *config.Config) (*Engine, error) {
 	b, err := balance.New(c.Module, c.Seed)
 	if err != nil {
 		return nil, err
@@ -60,7 +65,7 @@
 		subscribed: make(chan struct{}, 1),
 		balancer:   b, names: newNames(c.Zones),
 		endpoints: make(map[balance.EndpointID]*endpoint),
-		calls:     make(map[balance.RequestID]*call),
+		calls:     make(map[balance.RequestID]*Call),
 	}
 	// The module's clock goes on from Unix time without steps, so that the time an
 	// endpoint started needs no conversion and is the same in every list.
@@ -114,9 +119,9 @@
 			c.attempts[a.Attempt].End(upstream.ErrCanceled)
 		}
 	case balance.Shed:
-		e.answer(e.calls[a.Request], final{refused: true, retryAfter: a.Delay})
+		e.answer(e.calls[a.Request], Final{Refused: true, RetryAfter: a.Delay})
 	case balance.Fail:
-		e.answer(e.calls[a.Request], final{})
+		e.answer(e.calls[a.Request], Final{})
 	case balance.SetTimer:
 		e.timers.push(due{e.at + a.Delay, a.Timer})
 	case balance.Probe:
@@ -170,8 +175,50 @@
 	}
 }
 
-// list takes a list from discovery.
-func (e *Engine) list(l *discovery.List) {
+// Subscribed has something in it when the module wants the list to be watched.
+func (e *Engine) Subscribed() <-chan struct{} { return e.subscribed }
+
+// Ready tells whether any endpoint is known.
+func (e *Engine) Ready() bool { return e.ready.Load() }
+
+// Settings are those at hand; SIGHUP may bring others.
+func (e *Engine) Settings() *config.Settings { return e.settings.Load() }
+
+// Endpoint tells where an endpoint is that the list names, and whether it is in service.
+func (e *Engine) Endpoint(name string) (addr string, inService, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	to := e.endpoints[e.names.ids[name]]
+	if to == nil || to.name != name {
+		return "", false, false
+	}
+	return to.route.Addr, !to.left, true
+}
+
+// Stats are what the engine holds.
+type Stats struct {
+	Taken     int // calls in all
+	Calls     int // that are open, or have an attempt out
+	Attempts  int // that are out
+	Waiting   int // exchanges that wait for a connection to be closed
+	Endpoints int // that are known, or have an attempt or probe out
+	Names     int // of endpoints
+}
+
+// Stats counts what the engine holds.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := Stats{Taken: int(e.last), Calls: len(e.calls), Endpoints: len(e.endpoints), Names: max(len(e.names.ids), len(e.names.taken)),
+		Waiting: e.pool.Waiting()}
+	for _, to := range e.endpoints {
+		s.Attempts += len(to.out)
+	}
+	return s
+}
+
+// List takes a list from discovery.
+func (e *Engine) List(l *discovery.List) {
 	kind := balance.ListChanges
 	if l.Reset {
 		kind = balance.ListFull
@@ -179,8 +226,8 @@
 	e.update(kind, l)
 }
 
-// refused tells the balancer that a call to discovery has failed.
-func (e *Engine) refused() { e.update(balance.ListRefused, &discovery.List{}) }
+// Refused tells the balancer that a call to discovery has failed.
+func (e *Engine) Refused() { e.update(balance.ListRefused, &discovery.List{}) }
 
 func (e *Engine) update(kind balance.ListKind, l *discovery.List) {
 	e.mu.Lock()
--- a/internal/sidecar/live.go
+++ b/internal/engine/live.go
@@ -1,4 +1,4 @@
-package sidecar
+package engine
 
 import (
 	"sync/atomic"
--- /dev/null
+++ b/internal/engine/names_test.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"fmt"
+	"hash/fnv"
+	"reflect"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// Every sidecar has the same number for an endpoint, whatever the order of the list,
+// and two names with one hash have two numbers.
+func TestEndpointIDs(t *testing.T) {
+	hash := func(s string) uint32 {
+		h := fnv.New32a()
+		h.Write([]byte(s))
+		return h.Sum32()
+	}
+	seen := make(map[uint32]string)
+	var twins []string
+	for i := 0; twins == nil; i++ {
+		name := fmt.Sprint("s-", i)
+		if other, ok := seen[hash(name)]; ok {
+			twins = []string{other, name}
+		}
+		seen[hash(name)] = name
+	}
+	list := func(names ...string) *discovery.List {
+		l := new(discovery.List)
+		for _, n := range names {
+			l.Instances = append(l.Instances, discovery.Instance{ID: n, Lifecycle: "up"})
+		}
+		return l
+	}
+	one, other := newNames(nil), newNames(nil)
+	a, b := one.entries(list(twins[0], "x", twins[1])), other.entries(list(twins[1], twins[0], "x"))
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v and %+v differ", a, b)
+	}
+	if one.id(twins[0]) == one.id(twins[1]) {
+		t.Errorf("%v share a number", twins)
+	}
+	if again := one.entries(list(twins[1])); again[0].ID != one.id(twins[1]) {
+		t.Error("a number changed")
+	}
+}
+
+// The start of an endpoint, in Unix time, is at its place on the module's clock.
+func TestStartIsOnTheModulesClock(t *testing.T) {
+	l := standin.Up("127.0.0.1:2")
+	l.Instances[0].StartedMS = time.Now().Add(-time.Minute).UnixMilli()
+	e, err := New(standin.Config(t, l))
+	if err != nil {
+		t.Fatal(err)
+	}
+	age := e.now() - e.names.entries(&l)[0].Started
+	if age < time.Minute || age > time.Minute+patience {
+		t.Errorf("age %v, want a minute", age)
+	}
+	if got := e.on(e.now()); time.Until(got).Abs() > patience {
+		t.Errorf("now is %v on the machine's clock", got)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -1,24 +1,21 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/engine"
 )
 
 const (
@@ -26,86 +23,12 @@
 	maxListHead = 16 << 10 // the most bytes of its header
 )
 
-// names gives instances and zones the numbers by which the module knows them.
-type names struct {
-	ids   map[string]balance.EndpointID
-	taken map[balance.EndpointID]bool
-	zones []string // those of the settings
-}
-
-func newNames(zones []string) *names {
-	return &names{
-		ids:   make(map[string]balance.EndpointID),
-		taken: make(map[balance.EndpointID]bool),
-		zones: zones,
-	}
-}
-
-// id hashes an instance's name, so that every sidecar has the same number for
-// it, also after a restart. A name whose number is taken is hashed again.
-func (n *names) id(name string) balance.EndpointID {
-	if id, ok := n.ids[name]; ok {
-		return id
-	}
-	h := fnv.New32a()
-	for {
-		io.WriteString(h, name)
-		if id := balance.EndpointID(h.Sum32()); !n.taken[id] {
-			n.ids[name], n.taken[id] = id, true
-			return id
-		}
-	}
-}
-
-// forget drops an instance that is gone.
-func (n *names) forget(name string) {
-	delete(n.taken, n.ids[name])
-	delete(n.ids, name)
-}
-
-// zone returns a zone's index. One that the settings don't name is told by its hash: a
-// number for each would be one more thing that grows with what discovery says.
-func (n *names) zone(name string) int {
-	if i := slices.Index(n.zones, name); i >= 0 {
-		return i
-	}
-	h := fnv.New32a()
-	io.WriteString(h, name)
-	return len(n.zones) + int(h.Sum32())
-}
-
-// entry is one endpoint of a list and its address.
-type entry struct {
-	balance.Endpoint
-	name, addr string
-}
-
-// entries translates a list that has passed its check. It goes by name, so that
-// two names with one hash get the same numbers at every sidecar. The module's
-// clock reads Unix time, see Engine.
-func (n *names) entries(l *discovery.List) []entry {
-	list := slices.Clone(l.Instances)
-	slices.SortStableFunc(list, func(x, y discovery.Instance) int { return cmp.Compare(x.ID, y.ID) })
-	out := make([]entry, len(list))
-	for i, in := range list {
-		weight := 1.0
-		if in.Weight != nil {
-			weight = *in.Weight
-		}
-		out[i] = entry{name: in.ID, addr: in.HostPort, Endpoint: balance.Endpoint{
-			ID: n.id(in.ID), Zone: n.zone(in.Zone), Cell: in.Cell, State: discovery.States[in.Lifecycle],
-			Weight: weight, Started: time.Duration(in.StartedMS) * time.Millisecond,
-		}}
-	}
-	return out
-}
-
 // Discovery keeps the engine's list of endpoints up to date.
 type Discovery struct {
 	asks       bool          // the module asks for the list; else it is pushed
 	gap        time.Duration // the least time between two calls: one answered at once must not be a busy loop
 	wait, late time.Duration // how long a call may wait, and its answer take beyond
-	engine     *Engine
+	engine     *engine.Engine
 	client     *http.Client
 	transport  *http.Transport
 	failed     bool   // the last call did
@@ -118,7 +41,7 @@
 }
 
 // NewDiscovery returns the Discovery of an engine.
-func NewDiscovery(c *config.Config, e *Engine) *Discovery {
+func NewDiscovery(c *config.Config, e *engine.Engine) *Discovery {
 	d := &Discovery{
 		addr: c.Discovery, asks: c.Module.AskDiscovery, engine: e, gap: c.Settings.Discovery.Pause,
 		// An agent on this machine may fall silent and leave a call unanswered after it has news
@@ -174,7 +97,7 @@
 	for ctx.Err() == nil {
 		if d.asks && !asked {
 			select {
-			case <-d.engine.subscribed:
+			case <-d.engine.Subscribed():
 			case <-ctx.Done():
 				return
 			}
@@ -186,7 +109,7 @@
 			}
 			d.failed = true
 			if d.asks {
-				d.engine.refused()
+				d.engine.Refused()
 			}
 			pause(ctx, d.gap)
 		}
@@ -209,7 +132,7 @@
 		}
 		d.failed, d.index = false, l.Index()
 		if d.asks || l.Reset || len(l.Instances) > 0 {
-			d.engine.list(l)
+			d.engine.List(l)
 		}
 		pause(ctx, d.gap-time.Since(asked))
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -15,6 +15,7 @@
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/door"
+	"barleydrum.example/barleydrum/internal/engine"
 	"barleydrum.example/barleydrum/internal/http1"
 )
 
@@ -24,24 +25,22 @@
 // Server takes the callers' requests: what they are about, and in what words they are
 // answered. Its connections are the door's.
 type Server struct {
-	cfg      *config.Config
-	engine   *Engine
-	door     *door.Door
-	settings *live
-	calls    calls
+	cfg    *config.Config
+	engine *engine.Engine
+	door   *door.Door
 
 	mu  sync.Mutex
 	ids map[string]struct{} // of the requests that are open
 }
 
 // NewServer returns a Server that hands its requests to an engine.
-func NewServer(c *config.Config, e *Engine) (*Server, error) {
-	s := &Server{cfg: c, engine: e, settings: e.settings, ids: make(map[string]struct{})}
+func NewServer(c *config.Config, e *engine.Engine) (*Server, error) {
+	s := &Server{cfg: c, engine: e, ids: make(map[string]struct{})}
 	var err error
 	s.door, err = door.New(door.Config{
 		Handler: front{s}, Places: c.CallerConnections(), MaxHead: int(c.Settings.Callers.MaxHead),
 		Times: func() door.Times {
-			k := &s.settings.Load().Callers
+			k := &s.engine.Settings().Callers
 			return door.Times{Head: k.HeadTime, Body: k.BodyTime, Idle: k.IdleTime, Write: k.WriteTime, Grace: k.EvictionGrace}
 		},
 	})
@@ -54,7 +53,7 @@
 // Shutdown steers callers off, goes on accepting for a while, and returns when all
 // that was taken has its answer.
 func (s *Server) Shutdown() {
-	end := s.settings.Load().Shutdown
+	end := s.engine.Settings().Shutdown
 	ctx, cancel := context.WithTimeout(context.Background(), end.Linger+s.cfg.LongestDeadline()+end.Spare)
 	defer cancel()
 	if left := s.door.Shutdown(ctx, end.Linger); left > 0 { // a caller that sent no whole request is owed nothing
@@ -62,6 +61,9 @@
 	}
 }
 
+// Close ends all listeners and connections at once.
+func (s *Server) Close() { s.door.Close() }
+
 // open notes the id of a request, unless one that is open has it.
 func (s *Server) open(id string) bool {
 	s.mu.Lock()
@@ -90,15 +92,15 @@
 	if r.Framing() == http1.Chunked {
 		return &door.Refusal{Status: http.StatusLengthRequired, Why: "Transfer-Encoding: not taken, send a Content-Length"}
 	}
-	if n := r.ContentLength(); n > int64(s.settings.Load().Callers.MaxBody) {
+	if n := r.ContentLength(); n > int64(s.engine.Settings().Callers.MaxBody) {
 		return &door.Refusal{Status: http.StatusRequestEntityTooLarge, Why: fmt.Sprintf("body: %d bytes are too many", n)}
 	}
 	if health(r) {
 		return nil
 	}
-	c := s.calls.get()
+	c := s.engine.NewCall()
 	if err := s.parse(c, r); err != nil {
-		s.calls.put(c)
+		s.engine.Done(c)
 		return &door.Refusal{Status: http.StatusBadRequest, Why: err.Error()}
 	}
 	x.State = c
@@ -107,36 +109,31 @@
 
 // Serve answers a request, see door.Handler.
 func (s front) Serve(x *door.Exchange) {
-	c, ok := x.State.(*call)
+	c, ok := x.State.(*engine.Call)
 	if !ok {
 		status := http.StatusOK
-		if s.door.Draining() || !s.engine.ready.Load() {
+		if s.door.Draining() || !s.engine.Ready() {
 			status = http.StatusServiceUnavailable
 		}
 		x.Answer(status, "", nil, nil)
 		return
 	}
-	if !s.open(c.id) {
-		s.calls.put(c)
+	if !s.open(c.Name) {
+		s.engine.Done(c)
 		x.Close = true
 		x.Answer(http.StatusConflict, plain, nil, []byte("X-Request-ID: a request with it is open\n"))
 		return
 	}
-	defer s.closed(c.id)
-	c.engine, c.head, c.body = s.engine, x.Head(), x.Body
-	margin := min(s.settings.Load().Callers.AnswerMargin, c.Budget/10)
-	c.until = x.Came().Add(c.Budget - margin)
+	defer s.closed(c.Name)
+	c.Head, c.Body = x.Head(), x.Body
+	margin := min(s.engine.Settings().Callers.AnswerMargin, c.Budget/10)
+	c.Until = x.Came().Add(c.Budget - margin)
 	c.Budget -= 2*margin + time.Since(x.Came())
 	here := x.Watch(c)
-	f, spent := s.engine.serve(c, !here)
+	f := s.engine.Serve(c, !here)
 	x.Unwatch()
 	s.word(x, f)
-	if f.served != nil {
-		f.served.Done()
-	}
-	if spent {
-		s.calls.put(c)
-	}
+	s.engine.Done(c)
 }
 
 const plain = "text/plain; charset=utf-8"
@@ -145,10 +142,10 @@
 
 // word words a final answer. Only a refusal is worded 503: it tells the caller that trying
 // again does no harm.
-func (s *Server) word(x *door.Exchange, f final) {
+func (s *Server) word(x *door.Exchange, f engine.Final) {
 	switch {
-	case f.served != nil:
-		head := f.served.Head()
+	case f.Served != nil:
+		head := f.Served.Head()
 		x.Answer(http.StatusOK, "", func(b []byte) []byte {
 			for i := range head.Len() {
 				if f := head.Field(i); passedOn(head, f.Name) {
@@ -156,12 +153,12 @@
 				}
 			}
 			return b
-		}, f.served.Body())
-	case f.refused:
+		}, f.Served.Body())
+	case f.Refused:
 		x.Answer(http.StatusServiceUnavailable, plain, func(b []byte) []byte {
-			if f.retryAfter > 0 {
+			if f.RetryAfter > 0 {
 				b = append(b, "Retry-After: "...)
-				b = strconv.AppendFloat(b, f.retryAfter.Seconds(), 'f', 3, 64)
+				b = strconv.AppendFloat(b, f.RetryAfter.Seconds(), 'f', 3, 64)
 				b = append(b, "\r\n"...)
 			}
 			return b
@@ -183,7 +180,7 @@
 }
 
 // parse reads a request's head. An error names the field at fault.
-func (s *Server) parse(c *call, r *http1.Request) error {
+func (s *Server) parse(c *engine.Call, r *http1.Request) error {
 	if m := string(r.Method()); m != http.MethodGet && m != http.MethodPost {
 		return fmt.Errorf("method %.20q: neither GET nor POST", m)
 	}
@@ -232,7 +229,7 @@
 		c.Work = time.Duration(us * float64(time.Microsecond))
 	}
 	c.Repeat = string(retried) == "1"
-	c.id = string(id)
+	c.Name = string(id)
 	return nil
 }
 
@@ -260,22 +257,3 @@
 	}
 	return time.Duration(d), true
 }
-
-// appendRequest appends a call's request as it goes to an endpoint, which is waited for so long.
-// What is not the protocol's own goes on as it came; the body is framed anew.
-func appendRequest(b []byte, c *call, wait time.Duration) []byte {
-	r := c.head
-	b = http1.AppendRequestLine(b, r.Method(), r.Target())
-	for i := range r.Len() {
-		if f := r.Field(i); !http1.Is(f.Name, "X-Timeout") && r.EndToEnd(f.Name) {
-			b = http1.AppendParsed(b, f)
-		}
-	}
-	b = append(b, "X-Timeout: "...)
-	b = strconv.AppendInt(b, max(wait.Microseconds(), 1), 10)
-	b = append(b, "u\r\n"...)
-	if len(c.body) > 0 || string(r.Method()) != http.MethodGet {
-		b = http1.AppendLength(b, int64(len(c.body)))
-	}
-	return append(http1.AppendEnd(b), c.body...)
-}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,10 +6,15 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+
+	"barleydrum.example/barleydrum/internal/config"
+	"barleydrum.example/barleydrum/internal/discovery"
 )
 
 // T is the part of testing.TB that the helpers for tests use.
@@ -69,3 +74,29 @@
 "limits": {"attemptsCap": 3, "cancel": true, "secondCopies": true, "connectTimeoutNs": 5000000000, "keepaliveNs": 60000000000},
 "loadInfo": {"fields": ["busy_reqs"], "how": "piggyback"},
 "rules": {"drainGraceNs": 500000000}, "discovery": "push", "stepNs": 1000000}`
+
+// Up lists endpoints at these addresses, in service.
+func Up(addrs ...string) discovery.List {
+	l := discovery.List{Generation: 1, Reset: true}
+	for i, addr := range addrs {
+		l.Instances = append(l.Instances, discovery.Instance{ID: fmt.Sprintf("s-%d", i), HostPort: addr, Zone: "a", Lifecycle: "up"})
+	}
+	return l
+}
+
+// Config is a platform's configuration for tests that knows of endpoints, with Settings.
+func Config(t T, known discovery.List) *config.Config {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1f",
+		"known": known, "settings": json.RawMessage(Settings),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := config.ParsePlatform(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config.Merge(p, config.Default())
+}
