Test three ends that mutations survived: interrupts, stale connections, late idlers

Need: of nine mutations of the new code three were not caught: no interrupt of an attempt in the caller's hands (the attempt's own end passed for the answer), no look at a drain that was heard while an idle connection turned out stale, no end for a connection that falls idle as the shutdown begins. Change: a test for each.

--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -52,6 +52,11 @@
 		panic("not seen by Head")
 	}
 	switch path := string(x.Head().Path()); path {
+	case "/after": // the end begins once the answer has been worded
+		x.Answer(200, "", nil, nil)
+		e.held <- struct{}{}
+		<-e.free
+		return
 	case "/raw":
 		e.raw <- x.Hijack()
 		return
@@ -470,6 +475,32 @@
 	}
 }
 
+// A connection that falls idle just as the end begins, with an answer that does not say so, is
+// ended, not waited for.
+func TestIdleAsTheEndBegins(t *testing.T) {
+	h := open(t, 10, Times{Head: patience, Body: patience, Idle: 10 * patience, Write: patience, Grace: patience})
+	c := h.dial(post("/after", ""))
+	h.wait(h.echo.held, "request")
+	stopped := make(chan int, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		stopped <- h.door.Shutdown(ctx, 0)
+	}()
+	for !h.door.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond) // by now it has looked for idle ones
+	close(h.echo.free)
+	in := bufio.NewReader(c)
+	if resp, _ := h.answer(in); resp.StatusCode != 200 {
+		t.Error(resp.Status)
+	}
+	if left := <-stopped; left != 0 {
+		t.Errorf("%d connections are left", left)
+	}
+}
+
 // Shutdown ends with its context, whoever is left.
 func TestShutdownIsBounded(t *testing.T) {
 	h := open(t, 10, usualTimes())
--- a/internal/engine/call_test.go
+++ b/internal/engine/call_test.go
@@ -159,7 +159,7 @@
 		t.Fatalf("%+v", f)
 	}
 	e.Done(c)
-	c = newCall(t, e, patience)
+	c = newCall(t, e, 10*patience) // its own end must not pass for the answer
 	finals := make(chan Final, 1)
 	go func() { finals <- e.Serve(c, false) }()
 	wait(t, began, "attempt")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -339,6 +339,30 @@
 	}
 }
 
+// An endpoint that leaves while an idle connection to it turns out to be none any more gets
+// nothing on another.
+func TestLeavesOnStaleConnection(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			t.Error("it went out late")
+		}
+	})
+	p, to, x := usualPool(), &Route{Addr: addr}, new(Exchange)
+	defer p.Release(to, false)
+	if got, _ := do(p, to, "POST", ""); got != balance.OK {
+		t.Fatal(got)
+	}
+	x.Begin(p, to, time.Now().Add(patience), request("POST", "body"))
+	if !x.Ready() || !x.bind() {
+		t.Fatal("no idle connection")
+	}
+	x.Leave() // as the connection is found to be stale
+	x.unsent()
+	if x.Carry(); x.Result() != balance.NotSent {
+		t.Errorf("result %d, want %d", x.Result(), balance.NotSent)
+	}
+}
+
 // A break before the request's last byte is written proves that it never ran, also where an
 // answer has come by then: it can't be to the whole request.
 func TestBreakWhileWriting(t *testing.T) {
