Take nothing that comes before a request for its answer, on a new connection too

Need: on a new connection, bytes that had come before the request was written were read as its answer, and an endpoint that closed at once as one that may have run it. Change: the look before the first byte holds for new connections as well: what came ahead, or its end, is a connection that never carried the request, which has not run. Measured: the new test fails without it (an answer is served that no request got); all tests pass with -race.

--- a/internal/check/sidecar.go
+++ b/internal/check/sidecar.go
@@ -23,7 +23,8 @@
 	endCallers     = 3 * time.Second        // a caller that sends nothing whole is ended within it
 )
 
-// Memory that a connection takes beside its buffers: two goroutines' stacks, readers, writers.
+// Memory that a connection takes beside what its settings bound: a goroutine's stack and the
+// buffers of its reads and writes, with room for a hedge's.
 const perConnection = 24 << 10
 
 func (c *checker) run() {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -131,7 +131,11 @@
 	if x.out != nil && !x.asked {
 		x.asked = true
 		n, stale, buf, err := x.conn.Ask(x.out.Bytes())
-		if stale && !x.fresh {
+		switch {
+		case stale && x.fresh: // what comes ahead of the request is no answer to it
+			x.over(false, errSpokeFirst)
+			return Over
+		case stale:
 			x.unsent()
 			return Unsent
 		}
@@ -336,6 +340,8 @@
 
 func (s spoilt) Unwrap() error { return s.error }
 
+var errSpokeFirst = errors.New("the endpoint spoke, or closed, before the request was sent")
+
 var errBodyTooLong = errors.New("body too long")
 
 // parse takes what has come of the answer, and tells whether it is whole.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -387,6 +387,7 @@
 func TestAnswersBeforeReading(t *testing.T) {
 	addr := standin.TCP(t, func(c net.Conn) {
 		defer c.Close()
+		c.Read(make([]byte, 10))
 		io.WriteString(c, ok("ok"))
 		io.Copy(io.Discard, c)
 	})
@@ -397,6 +398,34 @@
 	}
 }
 
+// What an endpoint says, or closes with, on a new connection before anything was sent is no
+// answer to a request, which has not run.
+func TestSpeaksFirst(t *testing.T) {
+	for name, text := range map[string]string{"an answer": ok("stray"), "nothing": ""} {
+		said := make(chan struct{})
+		addr := standin.TCP(t, func(c net.Conn) {
+			defer c.Close()
+			if io.WriteString(c, text); text == "" {
+				c.(*net.TCPConn).CloseWrite()
+			}
+			close(said)
+			io.Copy(io.Discard, c)
+		})
+		x := new(Exchange)
+		x.Begin(usualPool(), &Route{Addr: addr}, time.Now().Add(patience), request("POST", "x"))
+		if !x.Dial() {
+			t.Fatal(x.Result())
+		}
+		<-said
+		for x.conn.Quiet() { // until it is here
+			time.Sleep(time.Millisecond)
+		}
+		if x.Run(); x.Result() != balance.ConnectFailed {
+			t.Errorf("%s: result %d, want %d", name, x.Result(), balance.ConnectFailed)
+		}
+	}
+}
+
 // An answer may be cut anywhere, and be read on by another goroutine after an interrupt.
 func TestInterruptAnywhere(t *testing.T) {
 	for name, text := range map[string]string{
