Read the lab's peak memory from the process itself

Need: all rows of the comparison showed one peak, 22 MB: the kernel's figure for a child that has ended counts the parent at the fork. Change: VmHWM is read before the end.

--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -250,12 +250,12 @@
 	wg.Wait()
 	elapsed := time.Since(began)
 	if p != nil {
-		if err := p.stop(); err != nil {
+		peak, err := p.peak()
+		if err := errors.Join(err, p.stop()); err != nil {
 			return err
 		}
-		u := p.used()
-		s.cpu += u.cpu
-		s.peakKB = max(s.peakKB, u.peakKB)
+		s.cpu += p.used()
+		s.peakKB = max(s.peakKB, peak)
 	}
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("lab: %s: %w", s.name, err)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -342,7 +342,8 @@
 // report stops the sidecars and prints the table.
 func (l *lab) report(caller *standin.Caller, e events) error {
 	var broken error
-	var used usage
+	var cpu time.Duration
+	var peakKB int64
 	killed := l.nodes[0][0]
 	for _, p := range l.sidecars {
 		select {
@@ -352,13 +353,11 @@
 			}
 			killed = nil
 		default:
-			if err := p.stop(); err != nil {
-				broken = errors.Join(broken, err)
-			}
+			peak, err := p.peak()
+			peakKB = max(peakKB, peak)
+			broken = errors.Join(broken, err, p.stop())
 		}
-		u := p.used()
-		used.cpu += u.cpu
-		used.peakKB = max(used.peakKB, u.peakKB)
+		cpu += p.used()
 	}
 	counts, took, lost := caller.Counts()
 	w := tabwriter.NewWriter(l.cfg.Out, 0, 0, 2, ' ', 0)
@@ -378,7 +377,7 @@
 		row("attempts that ran at "+t.name, "%d, %.2f an order, %d of them repeats that were dropped", attempts,
 			float64(attempts)/float64(max(e.asked, 1)), repeats)
 	}
-	row("sidecars", "%d, %v of CPU in all, %d MB at the largest", len(l.sidecars), used.cpu.Round(time.Millisecond), used.peakKB>>10)
+	row("sidecars", "%d, %v of CPU in all, %d MB at the largest", len(l.sidecars), cpu.Round(time.Millisecond), peakKB>>10)
 	rule := func(name string, err error) {
 		verdict := "kept"
 		if err != nil {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -39,12 +39,6 @@
 	err        error // once done
 }
 
-// usage is what a process has used in all.
-type usage struct {
-	cpu    time.Duration
-	peakKB int64 // resident memory at its peak
-}
-
 // begin starts a process that serves an address.
 func begin(dir, name, addr, program string, args, env []string) (*process, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
@@ -112,25 +106,28 @@
 }
 
 // resident is the memory that the process has in use, in KB.
-func (p *process) resident() (int64, error) {
+func (p *process) resident() (int64, error) { return p.status("VmRSS:") }
+
+// peak is the most that it has had in use, in KB. What the kernel tells of a child that has
+// ended counts the parent's memory at the fork too.
+func (p *process) peak() (int64, error) { return p.status("VmHWM:") }
+
+// status reads a line of /proc/PID/status, in KB.
+func (p *process) status(name string) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return 0, fmt.Errorf("lab: %s: %w", p.name, err)
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, name); ok {
 			return strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
 		}
 	}
-	return 0, fmt.Errorf("lab: %s: no VmRSS", p.name)
+	return 0, fmt.Errorf("lab: %s: no %s", p.name, name)
 }
 
-// used is what the process has used; it has ended.
-func (p *process) used() usage {
+// used is the CPU time that the process has used; it has ended.
+func (p *process) used() time.Duration {
 	s := p.cmd.ProcessState
-	u := usage{cpu: s.UserTime() + s.SystemTime()}
-	if r, ok := s.SysUsage().(*syscall.Rusage); ok {
-		u.peakKB = r.Maxrss
-	}
-	return u
+	return s.UserTime() + s.SystemTime()
 }
