--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
 	"barleydrum.example/barleydrum/internal/engine"
@@ -681,3 +683,31 @@
 		t.Errorf("a key that Connection names: %s", resp.Status)
 	}
 }
+
+// The ids of open requests against a plain set.
+func TestIDsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Server{ids: make(map[string]struct{})}
+		model := make(map[string]bool)
+		id := rapid.SampledFrom([]string{"a", "b", "A", "a "})
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				id := id.Draw(t, "id")
+				if got := s.open(id); got == model[id] {
+					t.Fatalf("%q opened: %v, while open: %v", id, got, model[id])
+				}
+				model[id] = true
+			},
+			"close": func(t *rapid.T) {
+				id := id.Draw(t, "id")
+				s.closed(id)
+				delete(model, id)
+			},
+			"": func(t *rapid.T) {
+				if len(s.ids) != len(model) {
+					t.Fatalf("%d ids are held, want %d", len(s.ids), len(model))
+				}
+			},
+		})
+	})
+}
