Let the descriptors of a test run out when it says so, not as a connection comes in

Need: TestNoDescriptors failed on a busy machine with 'unexpected EOF'. Its listener ran out of descriptors at every second call, at once and with nobody in line, so the door gave up the caller that had just been accepted and had not written yet, which is what it is to do with a silent one.

Change: the test's listener runs out when told, with a connection in line that stays there, as the kernel's does.

--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -536,17 +536,27 @@
 	close(h.echo.free)
 }
 
-// scarce is a listener for which descriptors run out now and then.
+// scarce is a listener for which descriptors run out when the test says so. As with the kernel's,
+// the connection that could not be accepted stays in line.
 type scarce struct {
 	net.Listener
-	n atomic.Int32
+	short atomic.Bool
+	line  net.Conn // that could not be accepted
 }
 
 func (s *scarce) Accept() (net.Conn, error) {
-	if s.n.Add(1)%2 == 1 {
+	c := s.line
+	if s.line = nil; c == nil {
+		var err error
+		if c, err = s.Listener.Accept(); err != nil {
+			return nil, err
+		}
+	}
+	if s.short.CompareAndSwap(true, false) {
+		s.line = c
 		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
 	}
-	return s.Listener.Accept()
+	return c, nil
 }
 
 // Descriptors that run out end neither the listener nor what has been taken; an idle
@@ -556,17 +566,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := openAt(t, &scarce{Listener: l}, 10, usualTimes())
+	s := &scarce{Listener: l}
+	h := openAt(t, s, 10, usualTimes())
 	held := h.dial(post("/hold", ""))
 	h.wait(h.echo.held, "request")
 	idle := h.dial(post("/", ""))
 	idleIn := bufio.NewReader(idle)
 	h.answer(idleIn)
 	h.idle(1)
+	s.short.Store(true)
 	if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
 		t.Errorf("%q", got)
 	}
-	h.dial("") // has the listener run out once more
 	if _, err := idleIn.ReadByte(); err != io.EOF && !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the idle one: %v", err)
 	}
