Begin with as many calls at an endpoint however few sidecars there are

Where load reports come with answers, own calls alone tell who is free, and Balancer.share began at 1 whoever shared an endpoint: two sidecars gave a node of two cores four calls, more than half of whose time is spent waiting for the next tier, and the share rises 0.03 in 30 calls. The first deployment probes and has hundreds of sidecars, so it never showed. And held requests were begun with 1.4 usual calls' time left, which is too late where calls share a node and their time varies: a lost start is work lost.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -38,7 +38,7 @@
 	paceSpan, paceCalls = 300 * time.Millisecond, 30
 
 	crowded   = 0.25 // how much slower than at its best (in the logarithm) the pace shows cores short
-	goalShare = 0.3  // the share of the goal that a usual call may take before the share is cut as well
+	goalShare = 0.25 // the share of the goal that a usual call may take before the share is cut as well
 
 	shareCut, shareRise = 0.9, 0.03 // move the share; sums and products bring sidecars to like shares
 
@@ -68,7 +68,13 @@
 
 	meanGain    = 0.05 // the weight of a call in a class's mean time
 	startMargin = 1.4  // how many usual calls' time a call needs: begun later, most were late, work lost
-	hedgeAfter  = 3.0  // when a call is hedged: this many mean deviations over the mean
+
+	// sharedMargin is how many mean deviations a call needs beyond that where others may be at its endpoint:
+	// its time varies with theirs. At an idle one it needs none, and would be given up for nothing. learnedBy
+	// is how many calls of a class tell its deviation.
+	sharedMargin, learnedBy = 3.0, 10
+
+	hedgeAfter = 3.0 // when a call is hedged: this many mean deviations over the mean
 
 	// hedgeBudget and retryBudget are the shares of calls hedged, or retried though work may have been lost.
 	hedgeBudget, retryBudget = 0.1, 0.2
@@ -206,7 +212,9 @@
 		requests:  make(map[RequestID]*request),
 		classes:   make([]latency, len(cfg.Classes)),
 		quotas:    make([]float64, len(cfg.Tenants)),
-		hedges:    1, retries: budgetCap, draws: 1, share: 1,
+		hedges:    1, retries: budgetCap, draws: 1,
+		// However few sidecars there are, together they begin with as many calls at each endpoint.
+		share:   math.Max(1, overlap/float64(cfg.Balancers)),
 		probing: cfg.Limits.Probes && cfg.Reporting == ReportsProbe && cfg.Costs.Probe <= probePrice,
 	}
 	for i, c := range cfg.Classes {
@@ -366,7 +374,11 @@
 	if r.class.LateShare == 0 {
 		r.useless = min(r.useless, r.goalAt)
 	}
-	r.startBy = min(r.goalAt, r.useless) - seconds(startMargin*b.usual(r))
+	need := startMargin * b.usual(r)
+	if c := &b.classes[q.Class]; !b.probing && c.n >= learnedBy {
+		need += sharedMargin * c.dev
+	}
+	r.startBy = min(r.goalAt, r.useless) - seconds(need)
 	b.count(q.Class)
 	b.hedges = min(b.hedges+hedgeBudget, budgetCap)
 	b.retries = min(b.retries+retryBudget, budgetCap)
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -544,7 +544,7 @@
 func TestSpillsToOtherZones(t *testing.T) {
 	cfg := config()
 	cfg.Costs.Probe = 0.01
-	cfg.Balancers = 1
+	cfg.Balancers = overlap
 	list := servers(4)
 	list[2].Zone, list[3].Zone = 1, 1
 	f := newFleet(t, cfg, list...)
@@ -741,6 +741,7 @@
 func TestShareFollowsThePace(t *testing.T) {
 	cfg := config()
 	cfg.Costs.Probe = 0.01
+	cfg.Balancers = overlap
 	f := newFleet(t, cfg, servers(10)...)
 	move := func(pace float64, n int) {
 		for range n {
@@ -767,6 +768,56 @@
 
 // In an overload all sidecars would spill into each other's stretches, and own calls would tell nothing
 // of an endpoint's load: others are used only when all in the stretch fail.
+// Where own calls tell who is free, an endpoint is given as many calls at the start by few
+// sidecars as by many: else a small fleet idles while its requests wait.
+func TestFewSidecarsBeginLikeMany(t *testing.T) {
+	for _, n := range []int{1, 2, overlap, 2 * overlap} {
+		cfg := config()
+		cfg.Reporting, cfg.Weights, cfg.Balancers = ReportsInAnswer, WeightsRough, n
+		f := newFleet(t, cfg, Endpoint{ID: 1, Weight: 2})
+		sent := 0
+		for range 20 {
+			f.request(0, 2*time.Second)
+			sent += len(f.find(Send))
+		}
+		if all := sent * min(n, overlap); all != 2*overlap {
+			t.Errorf("%d sidecars: %d calls each, want %d by all that meet an endpoint", n, sent, 2*overlap)
+		}
+	}
+}
+
+// A call at an endpoint that others use too needs time to spare by how calls vary there. One
+// that an idle endpoint is to be found for does not.
+func TestVaryingCallsNeedTimeToSpare(t *testing.T) {
+	for _, test := range []struct {
+		reporting Reporting
+		a, b      time.Duration // calls take one and the other in turn
+		need      float64       // of the usual time
+	}{
+		{ReportsInAnswer, 100 * ms, 100 * ms, startMargin},
+		{ReportsInAnswer, 60 * ms, 140 * ms, startMargin + 0.4*sharedMargin},
+		{ReportsProbe, 60 * ms, 140 * ms, startMargin},
+	} {
+		cfg := config()
+		cfg.Reporting = test.reporting
+		f := newFleet(t, cfg, servers(1)...)
+		for i := range 100 {
+			r := f.request(0, 2*time.Second)
+			if cfg.Reporting == ReportsProbe {
+				f.probed(1, 0)
+			}
+			took := []time.Duration{test.a, test.b}[i%2]
+			f.now += took
+			f.ended(r, 0, 1, OK, took)
+		}
+		r := f.b.requests[f.request(0, 2*time.Second)]
+		need := (r.goalAt - r.startBy).Seconds() / f.b.usual(r)
+		if math.Abs(need-test.need) > 0.2 {
+			t.Errorf("%+v: needs %.2f of the usual time", test, need)
+		}
+	}
+}
+
 func TestOthersOnlyWhenTheStretchFails(t *testing.T) {
 	cfg := config()
 	cfg.Costs.Probe = 0.01
@@ -847,7 +898,7 @@
 	cfg.Costs.Probe = 0.01
 	cfg.Classes[0].Worth = 12
 	cfg.Goal.Whole = 1
-	cfg.Balancers = 1
+	cfg.Balancers = overlap
 	f := newFleet(t, cfg, servers(1)...)
 	first := f.request(1, 2*time.Second)
 	e := f.sent()
