Let a keyed request go back to its endpoint where its group has no other

Cause: its repeats are dropped within one data centre, and a small fleet has centres with one node. Balancer.allowed refused an endpoint that had been tried as long as there were more endpoints than attempts anywhere, so such a request had nowhere to go and failed.

Scope and window are asked of it as before; unsafe requests that may have run still go nowhere.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -858,7 +858,7 @@
 	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		again := a.to == e && (a.out || len(b.ready) > len(r.attempts))
+		again := a.to == e && (a.out || b.elsewhere(r))
 		if again || a.out && !b.mayFollow(r, a.to, a.sent, e) {
 			return false
 		}
@@ -866,6 +866,15 @@
 	return r.ran == nil || b.mayFollow(r, r.ran, r.ranAt, e)
 }
 
+// elsewhere tells whether a request may still go to a sound endpoint that it has not been sent to. In the
+// group of a keyed one there may be no other.
+func (b *Balancer) elsewhere(r *request) bool {
+	return slices.ContainsFunc(b.ready, func(e *endpoint) bool {
+		return b.now >= e.suspect && (r.ran == nil || b.mayFollow(r, r.ran, r.ranAt, e)) &&
+			!slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == e })
+	})
+}
+
 // mayCopy tells whether a request may have a second copy out.
 func (b *Balancer) mayCopy(r *request) bool { return b.cfg.Limits.SecondCopies && !r.class.OneCopy }
 
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -366,6 +366,35 @@
 	}
 }
 
+// A keyed request whose group has one endpoint may go back to that, as repeats are dropped there
+// too; with another in the group it goes to the other.
+func TestKeyedGoesBackWhereItsGroupHasNoOther(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		cfg := config()
+		cfg.Reporting = ReportsInAnswer
+		cfg.Classes[1].Scope = ScopeZone
+		list := servers(4)
+		for i := range list {
+			list[i].Zone = min(i, 1)
+		}
+		if !alone {
+			list[1].Zone = 0
+		}
+		f := newFleet(t, cfg, list...)
+		r := f.request(1, 2*time.Second)
+		first := f.sent()
+		f.now += 100 * ms
+		f.ended(r, 0, first, Error, 100*ms)
+		for len(f.find(Send)) == 0 && f.now < time.Minute+700*ms {
+			f.now += 10 * ms
+			f.acts = f.b.Fired(f.now, Timer{Kind: timerServe}, nil)
+		}
+		if again := f.sent(); again != first && alone || again == first && !alone || again > 2 {
+			t.Errorf("alone %v: sent to %d and then to %d", alone, first, again)
+		}
+	}
+}
+
 func TestNoSecondCopyWhereForbidden(t *testing.T) {
 	cfg := config()
 	cfg.Limits.SecondCopies = false
