--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -42,6 +42,10 @@
 
 	shareCut, shareRise = 0.9, 0.03 // move the share; sums and products bring sidecars to like shares
 
+	// sharesLeast is what the shares of all sidecars come to at least: so few calls crowd no endpoint, and
+	// cutting on starves the fleet without quickening a call. It happened where the first calls were lucky.
+	sharesLeast = 3.0
+
 	rejectedPace = 1.5    // what a rejection counts for in the pace, over the best
 	paceDrift    = 0.0001 // how the best pace rises with each call: a lucky stretch is forgotten
 
@@ -1017,7 +1021,8 @@
 		return
 	}
 	if b.pace > b.paceBest+crowded || b.goalPace > math.Log(goalShare) {
-		b.share = math.Max(b.share*shareCut, 1/b.muMost) // less would change nothing, and be slow to undo
+		// Less than one call would change nothing, and be slow to undo.
+		b.share = max(b.share*shareCut, 1/b.muMost, sharesLeast/float64(b.cfg.Balancers))
 	} else if b.full {
 		b.share += shareRise
 	}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/balance"
+)
+
+const ms = time.Millisecond
+
+// small is a fleet of so many sidecars before nodes of two cores and unlike speeds, whose calls
+// wait for the tiers behind for longer than they compute.
+func small(sidecars int) Config {
+	c := Config{
+		Seed: 7,
+		Module: balance.Config{
+			Classes: []balance.Class{
+				{Name: "find", Goal: 800 * ms, Deadline: 2 * time.Second, Worth: 1, Semantics: balance.Safe},
+				{Name: "book", Goal: 1200 * ms, Deadline: 3 * time.Second, Worth: 10, Semantics: balance.Keyed,
+					Scope: balance.ScopeZone, RepeatWindow: 5 * time.Second},
+			},
+			PassesBudget: true, Reporting: balance.ReportsInAnswer, Weights: balance.WeightsRough,
+			Costs: balance.Costs{Probe: 0.01},
+			Limits: balance.Limits{MaxAttempts: 3, SecondCopies: true, Probes: true, Cancel: true,
+				MaxRetryAfter: 2 * time.Second, ConnectTimeout: 75 * ms, KeepAlive: 10 * time.Second},
+			Goal: balance.GoalWeights{Whole: 0.8, WorstClass: 0.2}, ColdShare: 0.13, ColdFor: 24 * time.Second,
+			FallMultiple: 2.5, FallAfter: 2 * time.Second, Step: ms,
+		},
+		Classes: []Class{
+			{Part: 3, Work: 50 * ms, CV: 0.5, Wait: 90 * ms}, {Part: 1, Work: 80 * ms, CV: 0.5, Wait: 130 * ms},
+		},
+		Load: 0.6, Length: 30 * time.Second, Net: 300 * time.Microsecond,
+		Clients: Clients{Tries: 3, Budget: 0.5, Pause: 150 * ms},
+	}
+	for i := range sidecars {
+		c.Sidecars = append(c.Sidecars, Sidecar{Zone: i % 3, Part: 1})
+	}
+	for i, speed := range []float64{1.7, 0.8, 0.6, 1.9} {
+		c.Nodes = append(c.Nodes, Node{Zone: i % 3, Cores: 2, Speed: speed, Weight: 2, Most: 40})
+	}
+	return c
+}
+
+func run(t testing.TB, c Config) *Result {
+	t.Helper()
+	r, err := Run(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// However few sidecars share a small fleet that has cores to spare, it serves what is asked of it.
+func TestFewSidecarsUseTheFleet(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 6} {
+		worst := 1.0
+		for seed := range uint64(10) {
+			c := small(n)
+			c.Seed = seed
+			worst = min(worst, run(t, c).Served())
+		}
+		if worst < 0.97 {
+			t.Errorf("%d sidecars: %.3f served in time on the worst of 10 days, want 0.97", n, worst)
+		}
+	}
+}
+
+// The same Config gives the same Result; another seed gives another.
+func TestSameSeedSameDay(t *testing.T) {
+	c := small(3)
+	a, b := run(t, c), run(t, c)
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\nand then %+v", a, b)
+	}
+	c.Seed++
+	if reflect.DeepEqual(a, run(t, c)) {
+		t.Error("another seed gave the same day")
+	}
+}
+
+// Each request ends once, whatever happens to its attempts, and no node holds more than it can.
+func TestEachEndsOnce(t *testing.T) {
+	for _, reports := range []balance.Reporting{balance.ReportsNone, balance.ReportsProbe, balance.ReportsInAnswer} {
+		c := small(2)
+		c.Module.Reporting, c.Module.Costs.Probe = reports, 0.002
+		c.Load = 1.4
+		for i := range c.Nodes {
+			c.Nodes[i].Most, c.Nodes[i].Errors = 6, 0.1
+		}
+		r := run(t, c)
+		for i := range r.Asked {
+			if got := r.InTime[i] + r.Late[i] + r.Lost[i]; got != r.Asked[i] || r.Asked[i] == 0 {
+				t.Errorf("reports %d, class %d: %d ended of %d", reports, i, got, r.Asked[i])
+			}
+		}
+		for i, n := range r.Holds {
+			if n > 6 {
+				t.Errorf("reports %d, node %d: held %d", reports, i, n)
+			}
+		}
+		if r.Served() > 0.95 || r.Lost[0] == 0 {
+			t.Errorf("reports %d: %.3f served at 1.4 of what the nodes can do", reports, r.Served())
+		}
+	}
+}
+
+// A core that is shared evenly takes E[S]/(1-load) for a call on average, whatever the spread of
+// its work (Kleinrock, Queueing Systems II, 4.4: M/G/1 with processor sharing).
+func TestSharedCoreKeepsToTheory(t *testing.T) {
+	const calls, load = 60_000, 0.6
+	for _, cv := range []float64{0, 1.5} {
+		w := &world{cfg: &Config{}, works: stream(3, 2), errs: stream(3, 3), res: Result{Holds: make([]int, 1)}}
+		n := &node{Node: &Node{Cores: 1, Speed: 2, Most: math.MaxInt}, w: w}
+		arrivals, took := stream(3, 1), 0.0
+		at := time.Duration(0)
+		for range calls {
+			at += time.Duration(arrivals.ExpFloat64() / load * float64(time.Second))
+			w.after(at, func() {
+				began := w.now
+				n.take(&job{work: 2 * lognormal(w.works, 1, cv), done: func(balance.Result, *balance.Load) {
+					took += (w.now - began).Seconds()
+				}})
+			})
+		}
+		for w.step() {
+		}
+		if got, want := took/calls, 1/(1-load); math.Abs(got-want) > 0.05*want {
+			t.Errorf("cv %g: a call takes %.3f s, want %.3f", cv, got, want)
+		}
+	}
+}
+
+func TestSettingsAtFault(t *testing.T) {
+	for want, spoil := range map[string]func(*Config){
+		"Nodes[1]":   func(c *Config) { c.Nodes[1].Cores = 0 },
+		"Classes[0]": func(c *Config) { c.Classes[0].Work = 0 },
+		"Classes: 1": func(c *Config) { c.Classes = c.Classes[:1] },
+		"Load":       func(c *Config) { c.Load = math.NaN() },
+		"Length":     func(c *Config) { c.Length = 0 },
+		"Sidecars":   func(c *Config) { c.Sidecars = nil },
+		"Module":     func(c *Config) { c.Module.ColdShare = 2 },
+	} {
+		c := small(1)
+		spoil(&c)
+		if _, err := Run(c); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+// BenchmarkRun is a day of 30 s at three sidecars and four nodes.
+func BenchmarkRun(b *testing.B) {
+	for b.Loop() {
+		run(b, small(3))
+	}
+}
