Take an unused measure out of the fleet's model

Need: Result.Worth had no caller once the probing of the model was over. Served is what its tests ask.

Measured: the model's tests pass as before; nothing the sidecar runs has changed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,16 +80,6 @@
 	return float64(served) / math.Max(float64(asked), 1)
 }
 
-// Worth is the worth served over the worth asked for.
-func (r *Result) Worth(classes []balance.Class) float64 {
-	asked, served := 0.0, 0.0
-	for i, k := range classes {
-		asked += float64(r.Asked[i]) * k.Worth
-		served += float64(r.InTime[i]) * k.Worth
-	}
-	return served / math.Max(asked, 1e-9)
-}
-
 // check returns an error that names the first setting at fault; the module checks its own.
 func (c *Config) check() error {
 	switch {
