--- a/balance/balance.go
+++ b/balance/balance.go
@@ -201,8 +201,19 @@
 	Budget time.Duration // until its client gives up
 	Repeat bool          // the client marked it as a further try
 	Work   time.Duration // expected work on a standard core; 0 is unknown
+
+	Arriving bool // its body is still coming, see [Balancer.Body]
 }
 
+// BodyState is what a sidecar learns late of a request's body.
+type BodyState uint8
+
+// What may be learned.
+const (
+	BodyWhole BodyState = iota // it has come whole: an endpoint may begin the request
+	BodyLost                   // it is kept no longer: no further attempt can be sent
+)
+
 // Result says how an attempt or a probe ended.
 type Result uint8
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -142,6 +142,7 @@
 	done     bool          // it has its final answer
 	over     bool          // it is over its tenant's quota
 	held     bool          // it waits for an endpoint, in Balancer.held
+	lost     bool          // its body is gone: no further attempt can be sent
 	hedgeAt  time.Duration
 }
 
@@ -426,6 +427,25 @@
 	return b.acts
 }
 
+// Body takes what has become of the body of a request that was still arriving. Until it is whole there is
+// no second copy: the first waits for the caller, as a copy would. Outcome.Elapsed counts from when it was.
+func (b *Balancer) Body(now time.Duration, id RequestID, s BodyState, out []Action) []Action {
+	b.begin(now, out)
+	r := b.requests[id]
+	if r == nil || r.done {
+		return b.acts
+	}
+	if s == BodyWhole {
+		r.Arriving = false
+		if r.out == 1 && r.hedgeAt == 0 {
+			b.armHedge(r)
+		}
+	} else if r.lost = true; r.held && r.out == 0 && !b.mayAdd(r) {
+		b.finish(r)
+	}
+	return b.acts
+}
+
 // Abandoned says that a request has ended without the Balancer.
 func (b *Balancer) Abandoned(now time.Duration, id RequestID, out []Action) []Action {
 	if b.begin(now, out); b.requests[id] != nil {
@@ -516,7 +536,7 @@
 // mayAdd tells whether the limits let a request have a further attempt now.
 func (b *Balancer) mayAdd(r *request) bool {
 	n, k := len(r.attempts), r.class
-	return n < b.cfg.Limits.MaxAttempts && (k.MaxAttempts == 0 || n < k.MaxAttempts) &&
+	return n < b.cfg.Limits.MaxAttempts && (n == 0 || !r.lost) && (k.MaxAttempts == 0 || n < k.MaxAttempts) &&
 		(n == 0 || k.RetryWithin == 0 || b.now < r.arrived+k.RetryWithin)
 }
 
@@ -880,7 +900,9 @@
 }
 
 // mayCopy tells whether a request may have a second copy out.
-func (b *Balancer) mayCopy(r *request) bool { return b.cfg.Limits.SecondCopies && !r.class.OneCopy }
+func (b *Balancer) mayCopy(r *request) bool {
+	return b.cfg.Limits.SecondCopies && !r.class.OneCopy && !r.Arriving
+}
 
 // mayFollow tells whether a request that may run at first, sent then, may also go to e.
 func (b *Balancer) mayFollow(r *request, first *endpoint, sent time.Duration, e *endpoint) bool {
@@ -905,7 +927,14 @@
 	b.act(Action{Kind: Send, Request: r.ID, Endpoint: e.ID, Until: r.useless})
 	if r.out > 1 {
 		b.hedges--
-	} else if b.probing && b.mayCopy(r) && r.class.Semantics != Unsafe {
+	} else {
+		b.armHedge(r)
+	}
+}
+
+// armHedge sets when a request that has one attempt out is hedged, if it may be.
+func (b *Balancer) armHedge(r *request) {
+	if b.probing && b.mayCopy(r) && r.class.Semantics != Unsafe {
 		c := &b.classes[r.Class]
 		r.hedgeAt = b.now + seconds(c.mean+hedgeAfter*c.dev)
 		if r.hedgeAt < r.useless {
--- a/cmd/drumctl/write.go
+++ b/cmd/drumctl/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -12,7 +13,7 @@
 
 func writeCommand() *cobra.Command {
 	var tier, listen, discovery, zone, file string
-	var calls, zones, classes []string
+	var calls, zones, classes, sets []string
 	var sidecars, number int
 	var force bool
 	c := &cobra.Command{
@@ -60,6 +61,11 @@
 					fmt.Fprintf(&b, "number = %d\n", number)
 				}
 			}
+			more, err := settings(sets)
+			if err != nil {
+				return err
+			}
+			b.WriteString(more)
 			parts := make([]string, len(classes))
 			for i, class := range classes {
 				var err error
@@ -104,6 +110,7 @@
 	f.IntVar(&sidecars, "sidecars", 0, "how many sidecars send to the tier")
 	f.IntVar(&number, "number", 0, "this sidecar's number among them, from 0")
 	f.StringArrayVar(&classes, "class", nil, "a class, as NAME,KEY=VALUE,...; once for each")
+	f.StringArrayVar(&sets, "set", nil, "a further key, as PART.KEY=VALUE; once for each. Parts: "+strings.Join(settable, ", "))
 	f.StringVarP(&file, "file", "f", "", "the file to write (default standard output)")
 	f.BoolVar(&force, "force", false, "replace the file")
 	return c
@@ -116,3 +123,39 @@
 	}
 	return strings.Join(quoted, ", ")
 }
+
+// settable are the parts whose keys --set takes: no other flag writes into them.
+var settable = []string{"callers", "streams", "discovery", "shutdown", "limits"}
+
+// settings turns texts PART.KEY=VALUE into parts of TOML.
+func settings(sets []string) (string, error) {
+	parts := make(map[string]string)
+	for _, text := range sets {
+		path, value, ok := strings.Cut(text, "=")
+		part, _, dotted := strings.Cut(path, ".")
+		if !ok || !dotted || !slices.Contains(settable, part) {
+			return "", fmt.Errorf("--set %q: not PART.KEY=VALUE with a part of %s", text, strings.Join(settable, ", "))
+		}
+		keys := config.Keys()
+		i := slices.IndexFunc(keys, func(k config.Key) bool { return k.Path == path && !k.IsPart })
+		if i < 0 {
+			return "", fmt.Errorf("--set %q: there is no key %s; see drumctl config reference", text, path)
+		}
+		switch keys[i].Type {
+		case "a whole number", "a number", "true or false":
+		default:
+			value = fmt.Sprintf("%q", value)
+			if strings.HasPrefix(keys[i].Type, "a list") {
+				value = "[" + value + "]"
+			}
+		}
+		parts[part] += fmt.Sprintf("%s = %s\n", strings.TrimPrefix(path, part+"."), value)
+	}
+	var b strings.Builder
+	for _, part := range settable {
+		if parts[part] != "" {
+			fmt.Fprintf(&b, "[%s]\n%s", part, parts[part])
+		}
+	}
+	return b.String(), nil
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -22,6 +22,9 @@
 	var cfg lab.Config
 	var how lab.Compared
 	compare := flag.Bool("compare", false, "measure the program beside httputil.ReverseProxy, a fasthttp proxy and no proxy")
+	streams := flag.Bool("streams", false, "measure the program beside httputil.ReverseProxy with long bodies: -callers of them at once")
+	slow := flag.Int("slow", 3, "with -streams: every so manieth `caller` is slow, 0 for none")
+	rate := flag.Int64("rate-slow", 1<<20, "with -streams: `bytes` a second of a slow caller, either way")
 	flag.IntVar(&how.Callers, "callers", 32, "with -compare: `callers`, each on a connection")
 	flag.IntVar(&how.Nodes, "nodes", 20, "with -compare: `nodes`, which answer at once")
 	flag.IntVar(&how.Body, "body", 200, "with -compare: `bytes` of a request's body")
@@ -51,6 +54,12 @@
 		exit(lab.Compare(ctx, cfg, how))
 		return
 	}
+	if *streams {
+		exit(lab.Streams(ctx, cfg, lab.Streamed{
+			Streams: how.Callers, Nodes: how.Nodes, Body: int64(how.Body), Answer: int64(how.Answer), Slow: *slow, Rate: *rate,
+		}))
+		return
+	}
 	exit(lab.Run(ctx, cfg))
 }
 
--- /dev/null
+++ b/internal/body/body.go
@@ -0,0 +1,436 @@
+package body
+
+import (
+	"errors"
+	"io"
+	"slices"
+	"sync"
+)
+
+// Why a body can't be read or written.
+var (
+	ErrNotKept = errors.New("body: its begin is not kept any more")
+	ErrStopped = errors.New("body: its reader was stopped")
+	ErrClosed  = errors.New("body: nobody wants it any more")
+)
+
+// State says what a further attempt would find of a body.
+type State uint8
+
+// The states of a body.
+const (
+	Arriving State = iota // kept so far, and not whole
+	Kept                  // whole
+	Gone                  // not to be had from its begin any more
+)
+
+// Body is the body of one request. One goroutine writes it, any number read it.
+type Body struct {
+	store *Store
+	l     Limits
+	lost  func()
+
+	mu       sync.Mutex
+	changed  sync.Cond
+	end      int64 // bytes that have been written
+	whole    bool
+	err      error // why it broke off
+	closed   bool
+	wanted   bool // it has had a reader
+	readers  []*Reader
+	trailers []byte
+
+	// What is held: memory from 0 on, and behind that the file. Once it is not kept there is no file.
+	kept    bool
+	forgone bool // it was not kept because nobody wants it again
+	memory  run
+	taken   int64 // of Store.held.Memory
+	file    File
+	filed   int64
+
+	// What has come last, where it is in a file or not kept: the reader that is ahead has it from here.
+	recent run
+	room   []byte // what Room returned last
+}
+
+// run is a stretch of a body in memory.
+type run struct {
+	first  int64 // where it begins
+	blocks []*[Block]byte
+}
+
+// tail is what is free behind the stretch, which ends at end.
+func (r *run) tail(end int64) []byte {
+	if len(r.blocks) == 0 {
+		return nil
+	}
+	return r.blocks[len(r.blocks)-1][Block-(r.end()-end):]
+}
+
+// end is where the last block ends.
+func (r *run) end() int64 { return r.first + int64(len(r.blocks))*Block }
+
+// at is what of one block begins at an offset, which is inside of the stretch. It ends at end.
+func (r *run) at(from, end int64) []byte {
+	i := from - r.first
+	return r.blocks[i/Block][i%Block : min(Block, i%Block+end-from)]
+}
+
+// New opens a body. lost is called, with nothing locked, as soon as a body that was kept is
+// found to be kept no longer. Close is owed.
+func (s *Store) New(l Limits, lost func()) *Body {
+	b := &Body{store: s, l: l, lost: lost, kept: true}
+	b.changed.L = &b.mu
+	s.note(func(h *Stats) { h.Bodies++ })
+	return b
+}
+
+// Room waits until the body may grow and returns space for up to most bytes, of which Wrote
+// tells how many are used. It fails once nobody wants the body any more.
+func (b *Body) Room(most int) ([]byte, error) {
+	b.mu.Lock()
+	for !b.closed && b.end-b.ahead() >= int64(b.l.Window) {
+		b.changed.Wait()
+	}
+	if b.closed {
+		b.mu.Unlock()
+		return nil, ErrClosed
+	}
+	was := b.kept
+	room := b.space()
+	lost := was && !b.kept && !b.forgone
+	room = room[:min(most, int(int64(b.l.Window)-(b.end-b.ahead())), len(room))]
+	b.room = room
+	b.mu.Unlock()
+	if lost && b.lost != nil {
+		b.lost()
+	}
+	return room, nil
+}
+
+// space finds where the next bytes go. A body that finds none is kept no longer.
+func (b *Body) space() []byte {
+	if b.kept && b.forgone {
+		b.lose()
+	}
+	if b.kept && b.file == nil {
+		if tail := b.memory.tail(b.end); len(tail) > 0 {
+			return tail
+		}
+		held := int64(len(b.memory.blocks)) * Block
+		switch {
+		case held < int64(b.l.Window):
+			return b.grow(&b.memory)
+		case held+Block <= b.l.Memory && b.store.takeMemory(Block, b.l.MemoryAll):
+			b.taken += Block
+			return b.grow(&b.memory)
+		case b.l.File > 0:
+			if f, err := b.store.open(); err == nil {
+				b.file = f
+				b.recent.first = b.end
+				b.store.note(func(h *Stats) { h.Files++ })
+			} else {
+				b.store.note(func(h *Stats) { h.Failed++ })
+			}
+		}
+	}
+	left := b.l.File - b.filed
+	if b.kept && (b.file == nil || left <= 0) {
+		b.lose()
+	}
+	if r := &b.recent; len(r.blocks) > 0 && len(b.readers) == 1 && b.readers[0].off == b.end {
+		r.blocks, r.first = r.blocks[:1], b.end // all has been read: begin again, to read as much as can be at once
+	}
+	room := b.recent.tail(b.end)
+	if len(room) == 0 {
+		room = b.grow(&b.recent)
+	}
+	if b.file != nil && int64(len(room)) > left {
+		room = room[:left]
+	}
+	return room
+}
+
+func (b *Body) grow(r *run) []byte {
+	k := b.store.block()
+	r.blocks = append(r.blocks, k)
+	return k[:]
+}
+
+// Wrote adds the first n bytes of what Room returned to the body.
+func (b *Body) Wrote(n int) error {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return ErrClosed
+	}
+	lost := false
+	if b.file != nil {
+		lost = b.spill(b.room[:n])
+	} else {
+		b.end += int64(n)
+	}
+	b.room = nil
+	b.changed.Broadcast()
+	b.mu.Unlock()
+	if lost && b.lost != nil {
+		b.lost()
+	}
+	return nil
+}
+
+// spill writes bytes to the file. If they don't all go in, the body is kept no longer; they are among
+// what has come last.
+func (b *Body) spill(p []byte) (lost bool) {
+	from := b.end
+	b.end += int64(len(p))
+	if b.store.takeFile(int64(len(p)), b.l.FilesAll) {
+		b.filed += int64(len(p))
+		if n, err := b.file.WriteAt(p, from-b.memory.end()); err == nil && n == len(p) {
+			return false
+		}
+		b.store.note(func(h *Stats) { h.Failed++ })
+	}
+	b.lose()
+	return true
+}
+
+// lose keeps the body no longer: the reader that is ahead goes on from what has come last, the rest
+// is dropped, and whoever is farther behind is told.
+func (b *Body) lose() {
+	if b.file == nil { // what has come last is at the end of memory
+		b.recent, b.memory = b.memory, run{}
+		b.pass(len(b.readers) == 1)
+	}
+	b.kept = false
+	if !b.forgone {
+		b.store.note(func(h *Stats) { h.Lost++ })
+	}
+	b.memory.blocks = nil // not to the pool: a reader may be looking at one
+	b.drop()
+}
+
+// pass drops what of the last bytes the reader that is ahead has passed.
+func (b *Body) pass(again bool) {
+	for len(b.recent.blocks) > 0 && b.ahead()-b.recent.first >= Block {
+		if again {
+			b.store.blocks.Put(b.recent.blocks[0])
+		}
+		b.recent.blocks = slices.Delete(b.recent.blocks, 0, 1)
+		b.recent.first += Block
+	}
+}
+
+// drop gives back what is counted: memory beyond the window, and the file.
+func (b *Body) drop() {
+	file, taken, filed := b.file, b.taken, b.filed
+	b.file, b.taken, b.filed = nil, 0, 0
+	b.store.note(func(h *Stats) {
+		h.Memory -= taken
+		h.Filed -= filed
+		if file != nil {
+			h.Files--
+		}
+	})
+	if file != nil {
+		file.Close() // it has no name: there is nothing left to lose
+	}
+}
+
+// ahead is how far the reader has come that is ahead.
+func (b *Body) ahead() int64 {
+	most := int64(0)
+	for _, r := range b.readers {
+		most = max(most, r.off)
+	}
+	return most
+}
+
+// Finish ends the body, which is whole, with the trailers that came behind it, whole lines.
+func (b *Body) Finish(trailers []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.whole, b.trailers = true, trailers
+	b.changed.Broadcast()
+}
+
+// Break ends the body, which is not whole. Its readers are told why.
+func (b *Body) Break(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breakOff(err)
+}
+
+func (b *Body) breakOff(err error) {
+	if b.err == nil && !b.whole {
+		b.err = err
+	}
+	b.changed.Broadcast()
+}
+
+// Forgo tells that nobody will want the body from its begin again.
+func (b *Body) Forgo() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || !b.kept {
+		return
+	}
+	b.forgone = true
+	if b.room == nil && b.end-b.ahead() <= int64(b.l.Window) { // else as the next bytes come, or at the end
+		b.lose()
+		b.changed.Broadcast()
+	}
+}
+
+// Close gives all back. Whoever waits for the body fails.
+func (b *Body) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	b.closed, b.kept, b.memory.blocks, b.recent.blocks = true, false, nil, nil
+	b.drop()
+	b.store.note(func(h *Stats) { h.Bodies-- })
+	b.changed.Broadcast()
+}
+
+// State tells what a further attempt would find.
+func (b *Body) State() State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case !b.kept || b.err != nil:
+		return Gone
+	case b.whole:
+		return Kept
+	}
+	return Arriving
+}
+
+// Wanted waits for the first reader, and tells whether one came.
+func (b *Body) Wanted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !b.wanted && !b.closed {
+		b.changed.Wait()
+	}
+	return b.wanted
+}
+
+// Reader reads a body from its begin, at its own pace. One goroutine uses it, but for Stop.
+type Reader struct {
+	b       *Body
+	off     int64
+	stopped bool
+	buf     *[Block]byte // for what is in the file
+}
+
+// Reader begins to read. It fails with ErrNotKept where the begin is gone: no request goes out
+// again without its body. Close is owed.
+func (b *Body) Reader() (*Reader, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.closed:
+		return nil, ErrClosed
+	case b.err != nil:
+		return nil, b.err
+	case !b.kept:
+		return nil, ErrNotKept
+	}
+	r := &Reader{b: b}
+	b.readers = append(b.readers, r)
+	b.wanted = true
+	b.changed.Broadcast()
+	return r, nil
+}
+
+// Next waits for more of the body and returns it, io.EOF at its end. What it returns is valid
+// until Advance.
+func (r *Reader) Next() ([]byte, error) {
+	b := r.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		switch {
+		case r.stopped:
+			return nil, ErrStopped
+		case b.closed:
+			return nil, ErrClosed
+		case b.err != nil:
+			return nil, b.err
+		case r.off < b.end:
+			return b.read(r)
+		case b.whole:
+			return nil, io.EOF
+		}
+		b.changed.Wait()
+	}
+}
+
+// read returns what is there of the body for a reader.
+func (b *Body) read(r *Reader) ([]byte, error) {
+	recent := b.file != nil || !b.kept
+	switch {
+	case recent && r.off >= b.recent.first:
+		return b.recent.at(r.off, b.end), nil
+	case !b.kept: // another was ahead
+		return nil, ErrNotKept
+	case b.file == nil:
+		return b.memory.at(r.off, b.end), nil
+	case r.off < b.memory.end():
+		return b.memory.at(r.off, b.memory.end()), nil
+	}
+	if r.buf == nil {
+		r.buf = b.store.block()
+	}
+	p := r.buf[:min(Block, b.recent.first-r.off)]
+	if _, err := b.file.ReadAt(p, r.off-b.memory.end()); err != nil {
+		b.store.note(func(h *Stats) { h.Failed++ })
+		b.err = err // also where it is whole: what can't be read again is not kept
+		b.changed.Broadcast()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Advance passes over n bytes of what Next returned.
+func (r *Reader) Advance(n int) {
+	b := r.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.off += int64(n)
+	if !b.closed && (b.file != nil || !b.kept) {
+		b.pass(len(b.readers) == 1) // else another may be looking at it
+	}
+	b.changed.Broadcast()
+}
+
+// Trailers are those of a body that has been read to its end.
+func (r *Reader) Trailers() []byte {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	return r.b.trailers
+}
+
+// Stop has Next return ErrStopped.
+func (r *Reader) Stop() {
+	r.b.mu.Lock()
+	defer r.b.mu.Unlock()
+	r.stopped = true
+	r.b.changed.Broadcast()
+}
+
+// Close ends reading.
+func (r *Reader) Close() {
+	b := r.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers = slices.DeleteFunc(b.readers, func(x *Reader) bool { return x == r })
+	if r.buf != nil {
+		b.store.blocks.Put(r.buf)
+		r.buf = nil
+	}
+	b.changed.Broadcast()
+}
--- /dev/null
+++ b/internal/body/body_test.go
@@ -0,0 +1,421 @@
+package body
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// disk is a file that fails as it is told to.
+type disk struct {
+	data     []byte
+	full     error // of writes, once room is used up
+	room     int
+	short    bool // a write that does not fit comes up short without an error
+	unread   error
+	closed   bool
+	unclosed *int
+}
+
+func (d *disk) WriteAt(p []byte, off int64) (int, error) {
+	n := min(len(p), max(d.room-int(off), 0))
+	d.data = append(d.data[:off], p[:n]...)
+	if n < len(p) && !d.short {
+		return n, d.full
+	}
+	return n, nil
+}
+
+func (d *disk) ReadAt(p []byte, off int64) (int, error) {
+	if d.unread != nil {
+		return 0, d.unread
+	}
+	return copy(p, d.data[off:]), nil
+}
+
+func (d *disk) Close() error {
+	if !d.closed {
+		d.closed = true
+		*d.unclosed--
+	}
+	return nil
+}
+
+func text(n int) []byte {
+	p := make([]byte, n)
+	rand.NewChaCha8([32]byte{byte(n), byte(n >> 8)}).Read(p)
+	return p
+}
+
+// write writes all of a body, as fast as it is taken.
+func write(b *Body, p []byte) error {
+	for len(p) > 0 {
+		room, err := b.Room(len(p))
+		if err != nil {
+			return err
+		}
+		n := copy(room, p)
+		if err := b.Wrote(n); err != nil {
+			return err
+		}
+		p = p[n:]
+	}
+	b.Finish([]byte("A: b\r\n"))
+	return nil
+}
+
+func read(r *Reader) ([]byte, error) {
+	var out []byte
+	for {
+		p, err := r.Next()
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		out = append(out, p...)
+		r.Advance(len(p))
+	}
+}
+
+// A body that goes through memory and a file comes out of each as it went in, again and again,
+// and leaves nothing: no file, no name in the folder.
+func TestReplay(t *testing.T) {
+	dir := t.TempDir()
+	s := NewStore(dir)
+	want := text(300_000)
+	b := s.New(Limits{Window: Block, Memory: 4 * Block, MemoryAll: 1 << 20, File: 1 << 20, FilesAll: 1 << 20}, func() { t.Error("lost") })
+	r, err := b.Reader()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		if err := write(b, want); err != nil {
+			t.Error(err)
+		}
+	}()
+	first, err := read(r)
+	wg.Wait()
+	if err != nil || sha256.Sum256(first) != sha256.Sum256(want) || string(r.Trailers()) != "A: b\r\n" {
+		t.Errorf("first: %v, %d bytes, %q", err, len(first), r.Trailers())
+	}
+	r.Close()
+	if got := s.Stats(); got != (Stats{Bodies: 1, Memory: 3 * Block, Files: 1, Filed: 300_000 - 4*Block}) {
+		t.Errorf("%+v", got)
+	}
+	names, err := os.ReadDir(dir)
+	if err != nil || len(names) > 0 {
+		t.Errorf("%v %v: a crash now would leave them behind", names, err)
+	}
+	var again [2]*Reader // a hedge beside a retry
+	for i := range again {
+		if again[i], err = b.Reader(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, r := range again {
+		if got, err := read(r); err != nil || !bytes.Equal(got, want) {
+			t.Errorf("again: %v, %d bytes", err, len(got))
+		}
+	}
+	if b.State() != Kept {
+		t.Errorf("state %d", b.State())
+	}
+	b.Close()
+	if got := s.Stats(); got != (Stats{}) {
+		t.Errorf("left: %+v", got)
+	}
+}
+
+// The disk fails in every way while a body is kept there: the attempt that is out gets the
+// whole of it all the same, no other is let begin, and the file goes at once.
+func TestDiskFails(t *testing.T) {
+	for name, d := range map[string]disk{
+		"ENOSPC": {full: syscall.ENOSPC, room: 50_000}, "EDQUOT": {full: syscall.EDQUOT, room: 50_000},
+		"short": {short: true, room: 50_001}, "at once": {full: syscall.EIO}, "no file": {room: -1},
+	} {
+		open := 0
+		s := NewStoreWith(func() (File, error) {
+			if d.room < 0 {
+				return nil, syscall.EMFILE
+			}
+			open++
+			f := d
+			f.unclosed = &open
+			return &f, nil
+		})
+		lost := 0
+		b := s.New(Limits{Window: Block, File: 1 << 20, FilesAll: 1 << 20}, func() { lost++ })
+		r, err := b.Reader()
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := text(200_000)
+		go write(b, want)
+		got, err := read(r)
+		if err != nil || !bytes.Equal(got, want) {
+			t.Errorf("%s: %v, %d bytes", name, err, len(got))
+		}
+		if _, err := b.Reader(); err != ErrNotKept || b.State() != Gone {
+			t.Errorf("%s: another may begin: %v", name, err)
+		}
+		if s := s.Stats(); lost != 1 || open != 0 || s.Files != 0 || s.Filed != 0 || s.Lost != 1 || s.Failed != 1 {
+			t.Errorf("%s: told %d times, %d files open, %+v", name, lost, open, s)
+		}
+		b.Close()
+	}
+}
+
+// A file that can't be read again fails its reader, and the body is not kept any more.
+func TestUnreadable(t *testing.T) {
+	d := &disk{room: 1 << 20, unclosed: new(int)}
+	s := NewStoreWith(func() (File, error) { return d, nil })
+	b := s.New(Limits{Window: Block, File: 1 << 20, FilesAll: 1 << 20}, nil)
+	r, _ := b.Reader()
+	go write(b, text(100_000))
+	if _, err := read(r); err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	d.unread = syscall.EIO
+	again, err := b.Reader()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := read(again); !errors.Is(err, syscall.EIO) || b.State() != Gone {
+		t.Errorf("%v, state %d", err, b.State())
+	}
+	b.Close()
+}
+
+// Whoever waits for the other side is woken as the body ends.
+func TestNobodyWaitsForEver(t *testing.T) {
+	s := NewStore(t.TempDir())
+	for name, end := range map[string]func(b *Body, r *Reader){
+		"close": func(b *Body, _ *Reader) { b.Close() },
+		"break": func(b *Body, _ *Reader) { b.Break(io.ErrUnexpectedEOF); b.Close() },
+		"stop":  func(b *Body, r *Reader) { r.Stop(); b.Close() },
+	} {
+		b := s.New(Limits{Window: Block}, nil)
+		r, _ := b.Reader()
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if p, err := r.Next(); err == nil {
+				t.Errorf("%s: the reader got %d bytes", name, len(p))
+			}
+		}()
+		end(b, r)
+		wg.Wait()
+
+		b = s.New(Limits{Window: Block}, nil)
+		wg.Add(2)
+		go func() {
+			defer wg.Done()
+			if err := write(b, text(5*Block)); err != ErrClosed {
+				t.Errorf("%s: the writer got %v", name, err)
+			}
+		}()
+		go func() {
+			defer wg.Done()
+			if b.Wanted() {
+				t.Errorf("%s: wanted by nobody", name)
+			}
+		}()
+		b.Close()
+		wg.Wait()
+	}
+	if got := s.Stats(); got != (Stats{}) {
+		t.Errorf("left: %+v", got)
+	}
+}
+
+// What all together keep stays within its bound: who comes too late is not kept, and passes on
+// all the same.
+func TestBoundOfAll(t *testing.T) {
+	s := NewStore(t.TempDir())
+	l := Limits{Window: Block, Memory: 8 * Block, MemoryAll: 4 * Block, File: 8 * Block, FilesAll: 4 * Block}
+	var open []*Body
+	states := map[State]int{}
+	for range 10 {
+		b := s.New(l, nil)
+		r, _ := b.Reader()
+		want := text(7 * Block)
+		go write(b, want)
+		if got, err := read(r); err != nil || !bytes.Equal(got, want) {
+			t.Fatal(err)
+		}
+		states[b.State()]++
+		if got := s.Stats(); got.Memory > l.MemoryAll || got.Filed > l.FilesAll {
+			t.Fatalf("%+v", got)
+		}
+		open = append(open, b)
+	}
+	if states[Kept] != 1 || states[Gone] != 9 {
+		t.Errorf("%v", states)
+	}
+	for _, b := range open {
+		b.Close()
+	}
+	if got := s.Stats(); got != (Stats{Lost: 9}) {
+		t.Errorf("left: %+v", got)
+	}
+}
+
+// A random life of bodies against a plain model: each reader reads what was written, in order,
+// or is told that it can't; a reader is let begin only while all is kept; nothing is left.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		open := 0
+		s := NewStoreWith(func() (File, error) {
+			if rapid.IntRange(0, 5).Draw(t, "open") == 0 {
+				return nil, syscall.EMFILE
+			}
+			open++
+			return &disk{unclosed: &open, full: syscall.ENOSPC, room: rapid.IntRange(0, 8*Block).Draw(t, "room"),
+				short: rapid.Bool().Draw(t, "short")}, nil
+		})
+		l := Limits{
+			Window: rapid.IntRange(1, 3*Block).Draw(t, "window"), Memory: rapid.Int64Range(0, 6*Block).Draw(t, "memory"),
+			File: rapid.Int64Range(0, 6*Block).Draw(t, "file"), MemoryAll: rapid.Int64Range(0, 8*Block).Draw(t, "memory all"),
+			FilesAll: rapid.Int64Range(0, 8*Block).Draw(t, "files all"),
+		}
+		type one struct {
+			b       *Body
+			written []byte
+			whole   bool
+			readers []*Reader
+			lost    int
+		}
+		type pair struct {
+			o *one
+			r *Reader
+		}
+		var all []*one
+		pick := func(t *rapid.T) *one {
+			if len(all) == 0 {
+				t.Skip("none")
+			}
+			return rapid.SampledFrom(all).Draw(t, "body")
+		}
+		reader := func(t *rapid.T) pair {
+			o := pick(t)
+			if len(o.readers) == 0 {
+				t.Skip("no reader")
+			}
+			return pair{o, rapid.SampledFrom(o.readers).Draw(t, "reader")}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				o := new(one)
+				o.b = s.New(l, func() { o.lost++ })
+				all = append(all, o)
+			},
+			"write": func(t *rapid.T) {
+				o := pick(t)
+				ahead := int64(0)
+				for _, r := range o.readers {
+					ahead = max(ahead, r.off)
+				}
+				if o.whole || int64(len(o.written))-ahead >= int64(l.Window) {
+					t.Skip("it would wait")
+				}
+				room, err := o.b.Room(rapid.IntRange(1, 2*Block).Draw(t, "most"))
+				if err != nil {
+					t.Skip("broken")
+				}
+				n := copy(room, text(len(room)))
+				o.written = append(o.written, room[:n]...)
+				o.b.Wrote(n)
+			},
+			"finish": func(t *rapid.T) {
+				o := pick(t)
+				o.whole = true
+				o.b.Finish(nil)
+			},
+			"begin": func(t *rapid.T) {
+				o := pick(t)
+				state := o.b.State()
+				r, err := o.b.Reader()
+				if (err == nil) != (state != Gone) {
+					t.Fatalf("state %d, yet %v", state, err)
+				}
+				if err == nil {
+					o.readers = append(o.readers, r)
+				}
+			},
+			"read": func(t *rapid.T) {
+				p := reader(t)
+				if p.r.off == int64(len(p.o.written)) && !p.o.whole {
+					t.Skip("it would wait")
+				}
+				got, err := p.r.Next()
+				if err != nil {
+					if len(got) > 0 || err == io.EOF && p.r.off != int64(len(p.o.written)) {
+						t.Fatalf("%v at %d of %d", err, p.r.off, len(p.o.written))
+					}
+					return
+				}
+				n := rapid.IntRange(0, len(got)).Draw(t, "n")
+				if !bytes.Equal(got, p.o.written[p.r.off:][:len(got)]) {
+					t.Fatalf("at %d of %d something else", p.r.off, len(p.o.written))
+				}
+				p.r.Advance(n)
+			},
+			"end": func(t *rapid.T) {
+				p := reader(t)
+				p.r.Close()
+				for i, r := range p.o.readers {
+					if r == p.r {
+						p.o.readers = append(p.o.readers[:i:i], p.o.readers[i+1:]...)
+						break
+					}
+				}
+			},
+			"forgo": func(t *rapid.T) { pick(t).b.Forgo() },
+			"close": func(t *rapid.T) {
+				o := pick(t)
+				o.b.Close()
+				for i := range all {
+					if all[i] == o {
+						all = append(all[:i:i], all[i+1:]...)
+						break
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				got := s.Stats()
+				if got.Bodies != len(all) || got.Memory > l.MemoryAll || got.Filed > l.FilesAll || got.Files != open || got.Memory < 0 || got.Filed < 0 {
+					t.Fatalf("%+v, %d files open", got, open)
+				}
+				for _, o := range all {
+					if o.lost > 1 {
+						t.Fatalf("told %d times", o.lost)
+					}
+					if held := int64(len(o.b.memory.blocks)+len(o.b.recent.blocks)) * Block; held > l.Held()+o.b.taken {
+						t.Fatalf("%d bytes held, %d bound", held, l.Held()+o.b.taken)
+					}
+				}
+			},
+		})
+		for _, o := range all {
+			o.b.Close()
+		}
+		if got := s.Stats(); got.Bodies+got.Files+int(got.Memory+got.Filed)+open != 0 {
+			t.Fatalf("left: %+v, %d files open", got, open)
+		}
+	})
+}
--- /dev/null
+++ b/internal/body/store.go
@@ -0,0 +1,135 @@
+// Package body holds the bodies of requests while they pass from their callers to endpoints and,
+// as far as its bounds allow, keeps them for further attempts: in memory first, then in a file,
+// then not at all. It knows nothing of sockets and reads no clock.
+//
+// A [Body] has one writer, which may be ahead of its readers by a window and then waits: that is
+// the back-pressure between the two ends. What is not kept is held for that window only.
+package body
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+// Block is how many bytes memory is taken by, and the most that is read or written at once.
+const Block = 32 << 10
+
+// Limits bound what bodies hold, in bytes.
+type Limits struct {
+	Window    int   // that the writer of one may be ahead of its readers
+	Memory    int64 // of one that are kept in memory, the first Window of them beside MemoryAll
+	File      int64 // of one that are kept in a file beyond those
+	MemoryAll int64 // of all that are kept in memory beyond the windows
+	FilesAll  int64 // of all in files
+}
+
+// Held is the most memory that one open body may take beside Limits.MemoryAll: its window, cut
+// unfavourably, and where there are files the same once more for what has come last, and a block for
+// a reader that reads again.
+func (l Limits) Held() int64 {
+	round := func(n int64) int64 { return (n + Block - 1) / Block * Block }
+	held := round(int64(l.Window) + Block - 1)
+	if l.File > 0 {
+		held += round(int64(l.Window)) + Block
+	}
+	return held
+}
+
+// File is where a body is kept that is too long for memory.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	io.Closer
+}
+
+// Store holds the bodies of one program within their bounds together.
+type Store struct {
+	open func() (File, error)
+
+	mu     sync.Mutex
+	held   Stats
+	blocks sync.Pool // of *[Block]byte
+}
+
+// Stats are what a store holds.
+type Stats struct {
+	Bodies int   // that are open
+	Memory int64 // bytes kept beyond the windows
+	Files  int   // that are open
+	Filed  int64 // bytes in them
+	Lost   int64 // bodies in all that could not be kept, or not for as long as they were wanted
+	Failed int64 // files in all that could not be opened, written or read
+}
+
+// NewStore returns a store whose files are in a folder. They have no name there, or lose it at
+// once, so that nothing is left behind however the program ends.
+func NewStore(dir string) *Store {
+	return NewStoreWith(func() (File, error) { return nameless(dir) })
+}
+
+// NewStoreWith returns a store whose files are those that open returns.
+func NewStoreWith(open func() (File, error)) *Store { return &Store{open: open} }
+
+// nameless opens a file without a name. Where the file system has no such thing (open(2),
+// O_TMPFILE), the name is removed as soon as the file is there.
+func nameless(dir string) (File, error) {
+	if fd, err := unix.Open(dir, unix.O_TMPFILE|unix.O_RDWR|unix.O_CLOEXEC, 0o600); err == nil {
+		return os.NewFile(uintptr(fd), dir), nil
+	}
+	f, err := os.CreateTemp(dir, "body-*")
+	if err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	if err := os.Remove(f.Name()); err != nil {
+		return nil, errors.Join(fmt.Errorf("body: %w", err), f.Close())
+	}
+	return f, nil
+}
+
+// Stats tells what the store holds.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// note changes what the store holds.
+func (s *Store) note(f func(h *Stats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.held)
+}
+
+// takeMemory takes bytes for memory, unless they are over the bound for all.
+func (s *Store) takeMemory(n, most int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held.Memory+n > most {
+		return false
+	}
+	s.held.Memory += n
+	return true
+}
+
+// takeFile is takeMemory for files.
+func (s *Store) takeFile(n, most int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held.Filed+n > most {
+		return false
+	}
+	s.held.Filed += n
+	return true
+}
+
+func (s *Store) block() *[Block]byte {
+	if b, ok := s.blocks.Get().(*[Block]byte); ok {
+		return b
+	}
+	return new([Block]byte)
+}
--- a/internal/check/rules.go
+++ b/internal/check/rules.go
@@ -98,6 +98,17 @@
 	{"memory", config.Refused, limits, "What callers' requests and their answers may hold comes to more than the memory.",
 		"the sidecar would be killed, and all it holds lost", "lower connections, max_body or max_answer"},
 
+	{"streams-memory", config.Refused, limits, "What bodies that flow may hold comes to more than the memory.",
+		"the sidecar would be killed, and all it holds lost", "lower open, window or memory_all, or files_all where ram_disk is true"},
+	{"streams-open", config.Refused, limits, "More requests with bodies that flow may be open than callers may have connections.",
+		"callers with short requests would find no place", "lower streams.open, or raise callers.connections"},
+	{"streams-platform", config.Refused, limits, "The file takes longer bodies than the platform's 64KiB.",
+		"its callers and endpoints hold to that", "leave streams.max_body and streams.max_answer out"},
+	{"streams-short", config.Refused, lost, "Bodies that flow are to be shorter than those that are held whole.",
+		"none would ever flow, or chunked ones would be refused that are short enough", "raise it over callers.max_body or endpoints.max_answer, or leave it out"},
+	{"streams-kept", config.Refused, limits, "One body may be kept for longer than all together.",
+		"it never would be", "raise memory_all or files_all, or lower memory or file"},
+
 	{"listen-claimed", config.Refused, fleet, "Two listeners claim one address.",
 		"the second can't start, or takes the first one's callers", "give each its own port or address"},
 	{"listen-discovery", config.Refused, fleet, "A sidecar listens where it asks discovery.",
--- a/internal/check/sidecar.go
+++ b/internal/check/sidecar.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/config"
 )
 
@@ -47,6 +48,7 @@
 	c.cold()
 	c.shutdown()
 	c.callers()
+	c.streams()
 	c.room()
 	if c.alone || c.platform != nil {
 		if _, err := balance.New(c.merged.Module, 1); err != nil {
@@ -444,6 +446,57 @@
 	}
 }
 
+// streams checks bodies that flow: their bounds beside one another, and their time.
+func (c *checker) streams() {
+	s := &c.settings.Streams
+	size := func(v config.Size) string { return v.String() }
+	for _, b := range []struct {
+		key, heldKey string
+		most, held   config.Size
+	}{
+		{"streams.max_body", "callers.max_body", s.MaxBody, c.settings.Callers.MaxBody},
+		{"streams.max_answer", "endpoints.max_answer", s.MaxAnswer, c.settings.Endpoints.MaxAnswer},
+	} {
+		if b.most == 0 {
+			continue
+		}
+		if c.platform != nil {
+			c.refuse("streams-platform", b.key, size(b.most), "0, beside a platform's configuration")
+		}
+		if b.most < b.held {
+			c.refuse("streams-short", b.key, size(b.most), size(b.held)+" or more, which "+b.heldKey+" is")
+		}
+	}
+	for _, b := range []struct {
+		key, allKey string
+		one, all    config.Size
+	}{{"streams.memory", "streams.memory_all", s.Memory, s.MemoryAll}, {"streams.file", "streams.files_all", s.File, s.FilesAll}} {
+		if b.one > 0 && b.all < b.one-min(s.Window, b.one) {
+			c.refuse("streams-kept", b.key, size(b.one), size(b.all)+" at most, which "+b.allKey+" is")
+		}
+	}
+	if most := c.merged.CallerConnections(); s.Takes() && s.Open > most {
+		c.refuse("streams-open", "streams.open", fmt.Sprint(s.Open), fmt.Sprintf("%d at most, the connections of callers", most))
+	}
+}
+
+// flowing is what bodies that flow may hold: those of requests by their number, and an answer's
+// buffer for each caller.
+func (c *checker) flowing() float64 {
+	s := &c.settings.Streams
+	held := 0.0
+	if s.Takes() {
+		held += float64(s.Open)*float64(s.Limits().Held()) + float64(s.MemoryAll)
+		if s.RAMDisk != nil && *s.RAMDisk {
+			held += float64(s.FilesAll)
+		}
+	}
+	if s.MaxAnswer > 0 {
+		held += float64(c.merged.CallerConnections()) * float64(max(s.Look, body.Block))
+	}
+	return held
+}
+
 // room checks descriptors and memory at the worst.
 func (c *checker) room() {
 	s, m := c.settings, c.merged
@@ -461,12 +514,21 @@
 	}
 	memory := float64(m.Limits.MemoryMB) * (1 << 20)
 	held := float64(callers) * float64(s.Callers.MaxHead+s.Callers.MaxBody+s.Endpoints.MaxAnswer)
-	all := held + float64(callers+endpoints)*perConnection + float64(endpoints)*float64(s.Endpoints.MaxAnswerHead+s.Endpoints.MaxAnswer)
+	flowing := c.flowing()
+	all := held + flowing + float64(callers+endpoints)*perConnection + float64(endpoints)*float64(s.Endpoints.MaxAnswerHead+s.Endpoints.MaxAnswer)
 	found := func(v float64) string { return config.Size(math.Round(v/(1<<20))*(1<<20)).String() + " at the worst" }
 	allowed := config.Size(memory).String()
 	keys := []string{"callers.max_body", "endpoints.max_answer", "callers.connections", "callers.max_head", "limits.memory", "limits.sockets"}
 	if i := slices.IndexFunc(keys, func(k string) bool { return c.given(k) }); held > memory && i >= 0 {
 		c.refuse("memory", keys[i], found(held), allowed)
+	} else if flowing > memory {
+		key := "streams.open"
+		for _, k := range []string{"streams.memory_all", "streams.files_all", "streams.window", "streams.max_body", "streams.max_answer"} {
+			if !c.given(key) {
+				key = k
+			}
+		}
+		c.refuse("streams-memory", key, found(flowing), allowed)
 	} else if all > memory {
 		c.warn("memory-tight", "limits.memory", found(all), allowed)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,6 +1,11 @@
 package config
 
-import "time"
+import (
+	"time"
+
+	"barleydrum.example/barleydrum/internal/body"
+	"barleydrum.example/barleydrum/internal/pace"
+)
 
 // Schema is the version of the operators' file that this program reads.
 const Schema = 1
@@ -22,6 +27,7 @@
 	Application Application `key:"application" doc:"Which application this is. All its sidecars may share one file."`
 	Callers     Callers     `key:"callers" doc:"Those who send requests to the sidecar."`
 	Endpoints   Endpoints   `key:"endpoints" doc:"The connections to the endpoints of the tier, and their answers."`
+	Streams     Streams     `key:"streams" doc:"Bodies that are passed on as they arrive, being too long to be held whole. Off unless max_body or max_answer is set."`
 	Probe       Probe       `key:"probe" doc:"The probes that the balancer asks for."`
 	Discovery   Watch       `key:"discovery" doc:"How the list of endpoints is followed."`
 	Shutdown    Shutdown    `key:"shutdown" doc:"The end after SIGTERM."`
@@ -66,6 +72,41 @@
 	MaxAnswer     Size          `key:"max_answer" default:"64KiB" min:"1KiB" max:"16MiB" reload:"live" doc:"The longest body of an answer; a longer one is a failed attempt that may have run."`
 }
 
+// Streams is the part [streams].
+type Streams struct {
+	MaxBody    Size          `key:"max_body" default:"0" min:"0" max:"1TiB" reload:"live" unset:"none is: callers.max_body is the longest" doc:"The longest body of a request that is passed on as it arrives, which one over callers.max_body is. 0 for none."`
+	MaxAnswer  Size          `key:"max_answer" default:"0" min:"0" max:"1TiB" reload:"live" unset:"none is: endpoints.max_answer is the longest" doc:"The longest body of an answer 200 that is passed on as it comes, which one over endpoints.max_answer is. 0 for none."`
+	Chunked    *bool         `key:"chunked" reload:"live" unset:"false" doc:"Whether bodies without a length are taken: requests in chunks, and answers of unknown length, which go on in chunks from look on."`
+	Open       int           `key:"open" default:"100" min:"1" max:"100000" reload:"live" doc:"How many requests with such bodies may be open. One more is refused, with when to come back."`
+	Window     Size          `key:"window" default:"32KiB" min:"4KiB" max:"1MiB" reload:"live" doc:"How far a body may be ahead of the endpoint that takes it before its caller has to wait."`
+	Memory     Size          `key:"memory" default:"0" min:"0" max:"1GiB" reload:"live" doc:"How much of one body is kept in memory for further attempts."`
+	MemoryAll  Size          `key:"memory_all" default:"0" min:"0" max:"1TiB" reload:"live" doc:"How much memory all bodies that are kept may take beyond their windows."`
+	File       Size          `key:"file" default:"0" min:"0" max:"1TiB" reload:"live" doc:"How much of one body is kept in a file in $TMPDIR beyond that. What fits nowhere is not kept, and such a request gets no further attempt."`
+	FilesAll   Size          `key:"files_all" default:"0" min:"0" max:"1TiB" reload:"live" doc:"How much all such files may take."`
+	RAMDisk    *bool         `key:"ram_disk" reload:"live" unset:"false" doc:"Whether $TMPDIR is memory: then files count against limits.memory."`
+	Look       Size          `key:"look" default:"8KiB" min:"0" max:"1MiB" reload:"live" doc:"How much of a long answer must have come before any of it goes to the caller. Until then another attempt may answer in its place."`
+	LeastRate  Size          `key:"least_rate" default:"1KiB" min:"1B" max:"1GiB" reload:"live" doc:"What a caller or endpoint has to send or take a second, on average over the time that it alone is waited for. A slower one is ended."`
+	RateWindow time.Duration `key:"rate_window" default:"5s" min:"50ms" max:"10m" reload:"live" doc:"The time over which that is measured. One that is silent is ended within twice this."`
+}
+
+// Takes tells whether requests whose bodies flow are taken.
+func (s *Streams) Takes() bool { return s.MaxBody > 0 }
+
+// Chunks tells whether bodies without a length are taken.
+func (s *Streams) Chunks() bool { return s.Chunked != nil && *s.Chunked }
+
+// Pace is what is asked of either side of a body that flows.
+func (s *Streams) Pace() pace.Meter {
+	return pace.Meter{Rate: int64(s.LeastRate), Window: s.RateWindow}
+}
+
+// Limits are what bodies of requests may hold.
+func (s *Streams) Limits() body.Limits {
+	return body.Limits{
+		Window: int(s.Window), Memory: int64(s.Memory), MemoryAll: int64(s.MemoryAll), File: int64(s.File), FilesAll: int64(s.FilesAll),
+	}
+}
+
 // Probe is the part [probe].
 type Probe struct {
 	Path string        `key:"path" kind:"path" reload:"live" unset:"/load, or /healthz where there are no load reports" doc:"What a probe asks an endpoint for."`
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -171,7 +171,7 @@
 		`f.toml:12:1: refused [out-of-range] callers.also_listen: found "nowhere"; allowed: a list of HOST:PORT addresses`,
 		`f.toml:12:1: refused [duplicate] callers.also_listen: found "127.0.0.1:1" twice; allowed: once`,
 		"f.toml:12:1: refused [wrong-type] callers.also_listen: found 5; allowed: a list of HOST:PORT addresses",
-		"f.toml:13:2: refused [unknown-key] caller: found caller; allowed: schema, application, callers, endpoints, probe, discovery, shutdown, limits, fleet, class; mend: did you mean callers?",
+		"f.toml:13:2: refused [unknown-key] caller: found caller; allowed: schema, application, callers, endpoints, streams, probe, discovery, shutdown, limits, fleet, class; mend: did you mean callers?",
 		`f.toml:16:13: refused [out-of-range] class.a.semantics: found "kyed"; allowed: one of safe, keyed, unsafe; mend: did you mean "keyed"?`,
 		"f.toml:17:8: refused [wrong-type] class.a.wanted: found a table; allowed: a time from 1ms to 1h",
 		`f.toml:18:17: refused [wrong-type] class.a.second_copies: found "yes"; allowed: true or false`,
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -14,10 +14,12 @@
 var errDone = errors.New("the connection ends")
 
 // The end of a connection on which more may come: it is read for a while, so that the answer
-// is not lost to a reset.
+// is not lost to a reset. One that sends on and on is not read for ever, and ends once it has
+// the answer, which is looked for now and then.
 const (
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
+	lingerLook  = 5 * time.Millisecond
 )
 
 // serve serves a connection until it ends.
@@ -72,12 +74,15 @@
 	if err != nil {
 		return d.refuse(c, refusal(err))
 	}
-	c.x.State = nil
+	c.x.State, c.x.Flows = nil, false
 	if r := d.cfg.Handler.Head(&c.x); r != nil {
 		return d.refuse(c, r)
 	}
+	if c.x.Flows {
+		return d.flows(c, n)
+	}
 	if c.head.Framing() == http1.Chunked {
-		return d.refuse(c, &Refusal{411, "Transfer-Encoding: not taken, send a Content-Length"})
+		return d.refuse(c, &Refusal{Status: 411, Why: "Transfer-Encoding: not taken, send a Content-Length"})
 	}
 	whole := n + int(max(c.head.ContentLength(), 0))
 	if c.buf.Len() < whole {
@@ -108,7 +113,7 @@
 	c.SetReadDeadline(time.Now().Add(times.Body))
 	for c.buf.Len() < whole {
 		if err := d.fill(c); err != nil {
-			return d.refuse(c, &Refusal{400, "body: it did not come whole in time"})
+			return d.refuse(c, &Refusal{Status: 400, Why: "body: it did not come whole in time"})
 		}
 	}
 	return nil
@@ -127,9 +132,9 @@
 // refusal is the answer to a head that can't be read.
 func refusal(err error) *Refusal {
 	if e := (*http1.Error)(nil); errors.As(err, &e) {
-		return &Refusal{e.Status, e.Error()}
+		return &Refusal{Status: e.Status, Why: e.Error()}
 	}
-	return &Refusal{400, err.Error()}
+	return &Refusal{Status: 400, Why: err.Error()}
 }
 
 // refuse answers a request that can't be used, and ends the connection.
@@ -140,7 +145,7 @@
 	x := &c.x
 	x.begin(nil)
 	x.Close = true
-	x.Answer(r.Status, "text/plain; charset=utf-8", nil, []byte(r.Why+"\n"))
+	x.Answer(r.Status, "text/plain; charset=utf-8", r.fields, []byte(r.Why+"\n"))
 	err := d.write(c)
 	x.end()
 	if err != nil {
@@ -155,7 +160,8 @@
 	if c.CloseWrite() != nil {
 		return
 	}
-	c.SetReadDeadline(time.Now().Add(lingerTime))
+	end := time.Now().Add(lingerTime)
+	c.SetReadDeadline(end)
 	if c.buf != nil {
 		c.buf.Reset()
 	}
@@ -166,6 +172,9 @@
 		left -= c.buf.Len()
 		c.buf.Reset()
 	}
+	for c.Unread() && time.Now().Before(end) {
+		time.Sleep(lingerLook)
+	}
 }
 
 // answer has a request answered and makes the connection ready for the next.
@@ -179,6 +188,9 @@
 		x.end()
 		return errDone
 	}
+	if x.flow.begun {
+		return d.flowed(c)
+	}
 	if x.out == nil {
 		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
 	}
@@ -199,6 +211,11 @@
 		return errDone
 	}
 	c.buf.Skip(whole)
+	return d.ready(c, ahead)
+}
+
+// ready makes a connection ready for the next request, part of which may have come ahead.
+func (d *Door) ready(c *conn, ahead bool) error {
 	if c.arrived = c.read; c.buf.Len() > 0 {
 		return nil // the next request came with this one
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
 	"barleydrum.example/barleydrum/internal/sock"
 )
@@ -26,18 +27,26 @@
 type Handler interface {
 	// Head judges a request by its head, before its body is waited for. It returns nil to have
 	// the body read, or the answer to it; the connection ends after that, since what follows on
-	// it can't be trusted.
+	// it can't be trusted. It sets x.Flows to have the body as it arrives.
 	Head(x *Exchange) *Refusal
 
-	// Serve answers a request that has come whole, by x.Answer. What x holds is valid until it
-	// returns.
+	// Serve answers a request, which has come whole unless it flows, by x.Answer, or by x.Begin
+	// and what follows on it. What x holds is valid until it returns.
 	Serve(x *Exchange)
 }
 
 // Refusal is the answer to a request that can't be used.
 type Refusal struct {
-	Status int
-	Why    string
+	Status     int
+	Why        string
+	RetryAfter time.Duration // when to come back, 0 for no advice
+}
+
+func (r *Refusal) fields(b []byte) []byte {
+	if r.RetryAfter > 0 {
+		b = http1.AppendRetryAfter(b, r.RetryAfter)
+	}
+	return b
 }
 
 // Leaver is told, once, that the caller of a request that is being answered has gone. It must
@@ -66,6 +75,7 @@
 	cfg      Config
 	limits   http1.Limits
 	bufs     http1.Buffers
+	pieces   http1.Buffers // for bodies that flow in chunks
 	outs     sync.Pool     // of *[]byte, for answers
 	slots    chan struct{} // one for each connection that is open
 	shut     chan struct{}
@@ -109,7 +119,8 @@
 	}
 	d := &Door{
 		cfg: cfg, limits: http1.DefaultLimits, watch: w,
-		slots: make(chan struct{}, cfg.Places), shut: make(chan struct{}),
+		pieces: http1.Buffers{Size: body.Block},
+		slots:  make(chan struct{}, cfg.Places), shut: make(chan struct{}),
 		places: places{most: cfg.Places}, conns: make(map[uint64]*conn),
 	}
 	d.limits.Head = cfg.MaxHead
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -35,7 +35,7 @@
 
 func (*echo) Head(x *Exchange) *Refusal {
 	if string(x.Head().Path()) == "/no" {
-		return &Refusal{http.StatusForbidden, "no"}
+		return &Refusal{Status: http.StatusForbidden, Why: "no"}
 	}
 	x.State = "seen"
 	return nil
--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -9,9 +9,10 @@
 	"barleydrum.example/barleydrum/internal/http1"
 )
 
-// Exchange is a request that has come whole, and its answer.
+// Exchange is a request that has come whole, or flows, and its answer.
 type Exchange struct {
 	Body  []byte
+	Flows bool // set by Handler.Head: Serve has the body by Upload, as it arrives
 	Close bool // the connection ends with the answer
 	State any  // the handler's, from Head to Serve
 
@@ -20,6 +21,9 @@
 	at    time.Time // of the answer
 	out   []byte
 	owned *[]byte // of Door.outs, which out may have outgrown
+
+	upload *upload
+	flow   flow
 }
 
 // Head is the request's head.
@@ -31,7 +35,7 @@
 
 func (x *Exchange) begin(body []byte) {
 	x.Body, x.Close = body, false
-	x.out = nil
+	x.out, x.upload, x.flow = nil, nil, flow{}
 	owned, ok := x.d.outs.Get().(*[]byte)
 	if !ok {
 		owned = new([]byte)
@@ -72,16 +76,23 @@
 	if contentType != "" {
 		b = http1.AppendField(b, "Content-Type", contentType)
 	}
+	b = x.common(b, fields)
+	b = http1.AppendEnd(http1.AppendLength(b, int64(len(body))))
+	x.out = append(b, body...)
+}
+
+// common appends the fields of any answer.
+func (x *Exchange) common(b []byte, fields func(b []byte) []byte) []byte {
 	x.at = time.Now()
 	b = x.d.appendDate(b, x.at)
 	if fields != nil {
 		b = fields(b)
 	}
-	if x.Close = x.Close || x.d.draining.Load(); x.Close {
+	// What is left of a request's body can't be told from the next request.
+	if x.Close = x.Close || x.d.draining.Load() || x.upload != nil && !x.upload.done(); x.Close {
 		b = http1.AppendField(b, "Connection", "close")
 	}
-	b = http1.AppendEnd(http1.AppendLength(b, int64(len(body))))
-	x.out = append(b, body...)
+	return b
 }
 
 // Raw is a connection that its door has handed over. Its reader gets first what had been read
--- /dev/null
+++ b/internal/door/flow.go
@@ -0,0 +1,353 @@
+package door
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/body"
+	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/pace"
+)
+
+// What may end a body that flows, beside what can't be read (an *http1.Error).
+var (
+	ErrSlow    = errors.New("the caller is slow")
+	ErrGone    = errors.New("the caller went away before its body was whole")
+	ErrTooLong = errors.New("the body is too long")
+	ErrTime    = errors.New("the time for the whole is up")
+)
+
+// Flow says how a body may flow.
+type Flow struct {
+	Most  int64      // bytes of it
+	Pace  pace.Meter // that is asked of the caller
+	Until time.Time  // the time for the whole is up
+}
+
+// upload reads a request's body as it arrives, in a goroutine of its own.
+type upload struct {
+	d       *Door
+	c       *conn
+	to      *body.Body
+	how     Flow
+	waits   bool // the caller waits for a 100
+	result  error
+	ended   chan struct{} // closed with result set
+	mu      sync.Mutex
+	stopped bool // it is to read and write no more
+}
+
+// Upload has the body of a request that flows go into a store from now on, as fast as it is
+// taken there, and calls done with what came of it, before StopUpload returns. A caller that
+// expects a 100 gets it once the body has a reader.
+func (x *Exchange) Upload(to *body.Body, how Flow, done func(error)) {
+	u := &upload{d: x.d, c: x.c, to: to, how: how, ended: make(chan struct{})}
+	u.waits = x.c.head.ExpectsContinue() && x.c.buf.Len() == 0
+	x.upload = u
+	go func() {
+		defer close(u.ended)
+		u.result = u.run(x.c.head)
+		if u.result != nil {
+			to.Break(u.result)
+		}
+		done(u.result)
+	}()
+}
+
+// StopUpload ends the reading of a body, if it has not ended. The store must be closed by now, or
+// the body whole.
+func (x *Exchange) StopUpload() {
+	u := x.upload
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	if !u.stopped {
+		u.stopped = true
+		u.c.SetReadDeadline(past)
+	}
+	u.mu.Unlock()
+	<-u.ended
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// done tells whether the body has been read whole.
+func (u *upload) done() bool {
+	select {
+	case <-u.ended:
+		return u.result == nil
+	default:
+		return false
+	}
+}
+
+func (u *upload) run(head *http1.Request) error {
+	if !u.to.Wanted() {
+		return body.ErrClosed
+	}
+	if err := u.goOn(); err != nil {
+		return err
+	}
+	if head.Framing() == http1.Chunked {
+		return u.chunks()
+	}
+	return u.length(head.ContentLength())
+}
+
+// goOn tells a caller that waits for it to send its body.
+func (u *upload) goOn() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.waits || u.stopped {
+		return nil
+	}
+	n, err := u.c.TryWrite([]byte(http1.Continue))
+	if err == nil && n < len(http1.Continue) { // a caller that reads nothing, not even that
+		err = ErrSlow
+	}
+	return err
+}
+
+// length reads a body of a known length, straight to where it is held.
+func (u *upload) length(left int64) error {
+	for left > 0 {
+		room, err := u.to.Room(int(min(left, body.Block)))
+		if err != nil {
+			return err
+		}
+		n := copy(room, u.c.buf.Bytes()) // what came with the head
+		if u.c.buf.Skip(n); n == 0 {
+			if n, err = u.read(func() (int, error) { return u.c.Read(room) }); err != nil {
+				return err
+			}
+		}
+		if err := u.to.Wrote(n); err != nil {
+			return err
+		}
+		left -= int64(n)
+	}
+	u.to.Finish(nil)
+	return nil
+}
+
+// chunks reads a body of chunks, whose framing is checked before any of it goes on.
+func (u *upload) chunks() error {
+	in := u.d.pieces.Get()
+	in.Wrote(copy(in.Room(u.c.buf.Len()), u.c.buf.Bytes()))
+	u.c.buf.Reset()
+	defer func() { u.d.pieces.Put(in) }()
+	parts := http1.Chunks{Limits: http1.DefaultLimits, Keep: true}
+	for total := int64(0); ; {
+		data, n, err := parts.Next(in.Bytes())
+		if err != nil {
+			return err
+		}
+		if total += int64(len(data)); total > u.how.Most {
+			return ErrTooLong
+		}
+		for len(data) > 0 {
+			room, err := u.to.Room(len(data))
+			if err != nil {
+				return err
+			}
+			m := copy(room, data)
+			if err := u.to.Wrote(m); err != nil {
+				return err
+			}
+			data = data[m:]
+		}
+		in.Skip(n)
+		if parts.Done() {
+			// What is behind belongs to the next request.
+			u.c.buf.Wrote(copy(u.c.buf.Room(in.Len()), in.Bytes()))
+			u.to.Finish(parts.Trailers)
+			return nil
+		}
+		if n > 0 {
+			continue
+		}
+		if _, err := u.read(func() (int, error) {
+			had := in.Len()
+			_, err := u.c.Fill(in)
+			return in.Len() - had, err
+		}); err != nil {
+			return err
+		}
+	}
+}
+
+// read reads once, for as long as the caller keeps its pace. Time that was spent waiting for
+// whoever takes the body is not the caller's.
+func (u *upload) read(f func() (int, error)) (int, error) {
+	for {
+		began := time.Now()
+		by := began.Add(u.how.Pace.Allow())
+		if u.how.Until.Before(by) {
+			by = u.how.Until
+		}
+		u.mu.Lock()
+		if !u.stopped {
+			u.c.SetReadDeadline(by)
+		}
+		stopped := u.stopped
+		u.mu.Unlock()
+		if stopped {
+			return 0, body.ErrClosed
+		}
+		n, err := f()
+		now := time.Now()
+		fast := u.how.Pace.Waited(now.Sub(began), n)
+		switch timeout := net.Error(nil); {
+		case err == nil && fast:
+			u.c.read = now
+			return n, nil
+		case err == nil:
+			return 0, fmt.Errorf("body: %w", ErrSlow)
+		case !errors.As(err, &timeout) || !timeout.Timeout():
+			return 0, fmt.Errorf("body: %w: %w", ErrGone, err)
+		case !now.Before(u.how.Until):
+			return 0, fmt.Errorf("body: %w", ErrTime)
+		case !fast:
+			return 0, fmt.Errorf("body: %w", ErrSlow)
+		}
+	}
+}
+
+// flows has a request answered whose body is still arriving.
+func (d *Door) flows(c *conn, head int) error {
+	// The head is kept apart: its buffer is read on into.
+	text := append([]byte(nil), c.buf.Bytes()[:head]...)
+	c.head.Moved(text)
+	c.buf.Skip(head)
+	if !d.reached(c, taken, c.read) {
+		return errDone
+	}
+	x := &c.x
+	x.begin(nil)
+	x.Close = c.head.Closes()
+	d.cfg.Handler.Serve(x)
+	x.StopUpload()
+	if x.upload == nil || !x.upload.done() {
+		x.Close = true
+	}
+	if x.flow.begun {
+		return d.flowed(c)
+	}
+	if x.out == nil {
+		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
+	}
+	c.since = x.at
+	err := d.write(c)
+	closes := x.Close
+	x.end()
+	if err != nil {
+		return err
+	}
+	if closes {
+		d.linger(c)
+		return errDone
+	}
+	return d.ready(c, false)
+}
+
+// flow is an answer that goes out as it comes.
+type flow struct {
+	begun, whole, chunked bool
+	left                  int64 // of a body whose length was told
+	how                   Flow
+	space                 []byte
+}
+
+// Begin begins an answer that goes out as it comes, of so many bytes, or in chunks where length
+// is -1. Write and End follow; without End the caller sees that it broke off.
+func (x *Exchange) Begin(status int, fields func(b []byte) []byte, length int64, how Flow) error {
+	b := x.common(http1.AppendStatusLine((*x.owned)[:0], status), fields)
+	x.flow = flow{begun: true, chunked: length < 0, left: length, how: how}
+	if length < 0 {
+		b = http1.AppendCoding(b)
+	} else {
+		b = http1.AppendLength(b, length)
+	}
+	x.out = http1.AppendEnd(b)
+	if u := x.upload; u != nil { // no 100 may follow the answer
+		u.mu.Lock()
+		u.waits = false
+		u.mu.Unlock()
+	}
+	return x.send(x.out)
+}
+
+// Write sends a piece of the body, which is not empty.
+func (x *Exchange) Write(p []byte) error {
+	if !x.flow.chunked {
+		x.flow.left -= int64(len(p))
+		if x.flow.left < 0 {
+			return http1.ErrLength
+		}
+		return x.send(p)
+	}
+	x.flow.space = http1.AppendChunkSize(x.flow.space[:0], len(p))
+	return x.send(x.flow.space, p, []byte("\r\n"))
+}
+
+// End ends the body, with trailers that are whole lines where it goes out in chunks.
+func (x *Exchange) End(trailers []byte) error {
+	if x.flow.chunked {
+		if err := x.send(http1.AppendLastChunk(x.flow.space[:0], trailers)); err != nil {
+			return err
+		}
+	}
+	x.flow.whole = x.flow.chunked || x.flow.left == 0
+	return nil
+}
+
+// send writes all, for as long as the caller keeps its pace.
+func (x *Exchange) send(texts ...[]byte) error {
+	all := net.Buffers(texts)
+	f := &x.flow
+	for {
+		began := time.Now()
+		by := began.Add(f.how.Pace.Allow())
+		if f.how.Until.Before(by) {
+			by = f.how.Until
+		}
+		x.c.SetWriteDeadline(by)
+		n, err := all.WriteTo(x.c.Conn.Conn)
+		now := time.Now()
+		fast := f.how.Pace.Waited(now.Sub(began), int(n))
+		switch timeout := net.Error(nil); {
+		case err == nil:
+			return nil
+		case !errors.As(err, &timeout) || !timeout.Timeout():
+			return err
+		case !now.Before(f.how.Until):
+			return fmt.Errorf("answer: %w", ErrTime)
+		case !fast:
+			return fmt.Errorf("answer: %w", ErrSlow)
+		}
+	}
+}
+
+// flowed ends an answer that went out as it came.
+func (d *Door) flowed(c *conn) error {
+	x := &c.x
+	c.since = time.Now()
+	whole, closes, flowed := x.flow.whole, x.Close, x.Flows
+	x.end()
+	switch {
+	case !whole:
+		return errDone // without its last bytes, by which the caller knows
+	case closes:
+		d.linger(c)
+		return errDone
+	}
+	if !flowed {
+		c.buf.Skip(c.whole)
+	}
+	return d.ready(c, false)
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/replay"
 	"barleydrum.example/barleydrum/internal/upstream"
 )
 
@@ -18,7 +20,9 @@
 	Name  string         // the request's id, for whoever made the call
 	Head  *http1.Request // and the body need hold until Serve returns
 	Body  []byte
-	Until time.Time // its caller's time is up
+	Flow  *body.Body // in place of Body, for one that is still arriving; to be closed before Done
+	Size  int64      // of Flow, -1 where it is not known
+	Until time.Time  // its caller's time is up
 
 	engine *Engine
 	last   time.Duration // Until on the module's clock
@@ -31,6 +35,8 @@
 	next     *attempt // for its goroutine to carry
 	inline   *attempt // that it carries
 	waiting  bool     // its goroutine waits for wake
+	flowing  *attempt // whose answer flows
+	gate     replay.Gate
 
 	wake  chan struct{}
 	timer *time.Timer
@@ -41,6 +47,7 @@
 // Final is a final answer: served, refused, or neither: failed.
 type Final struct {
 	Served     *upstream.Exchange // whose answer it is, until Done; nil if it was not served
+	Flows      bool               // the answer is to be had by Served.Next
 	Refused    bool               // trying again is harmless
 	RetryAfter time.Duration      // when to come back, 0 for no advice
 }
@@ -54,6 +61,7 @@
 	endpoint *endpoint
 	slot     int           // in endpoint.out
 	began    time.Duration // on the module's clock
+	took     time.Duration // until its answer began to flow, 0 for not yet
 }
 
 // NewCall returns a call to be filled in. Done is owed.
@@ -67,8 +75,13 @@
 	return c
 }
 
-// Done takes a call back whose final answer, if it has one, has been passed on.
+// Done takes a call back whose final answer, if it has one, has been passed on. One that flows
+// ends here, if it has not ended.
 func (e *Engine) Done(c *Call) {
+	if x := c.flowing; x != nil {
+		x.Abort()
+		e.ended(x)
+	}
 	if c.final.Served != nil {
 		c.final.Served.Done()
 	}
@@ -83,6 +96,7 @@
 	default:
 	}
 	c.Request, c.Name, c.Head, c.Body, c.Until = balance.Request{}, "", nil, nil, time.Time{}
+	c.Flow, c.Size, c.flowing = nil, 0, nil
 	c.engine, c.answered, c.final, c.next, c.inline, c.waiting = nil, false, Final{}, nil, nil, false
 	c.attempts, c.few = nil, [2]*attempt{}
 	c.first.call, c.first.endpoint = nil, nil
@@ -109,6 +123,8 @@
 		switch p {
 		case upstream.Over:
 			x, answered = e.ended(x)
+		case upstream.Flowing:
+			x, answered = e.flow(x)
 		case upstream.Unsent: // a connection that has to come up is waited for elsewhere
 			x, answered = e.free(c)
 			go e.carry(it)
@@ -133,6 +149,10 @@
 	}
 	c.attempts = c.few[:0]
 	c.last = e.epoch + c.Until.Sub(e.origin)
+	if c.Flow != nil {
+		k := &e.cfg.Module.Classes[c.Class]
+		c.gate.Reset(k.Semantics, k.RepeatWindow)
+	}
 	e.last++
 	c.ID = e.last
 	e.calls[c.ID] = c
@@ -232,7 +252,7 @@
 	if len(c.attempts) > 0 {
 		x = new(attempt)
 	}
-	x.call, x.n, x.id, x.endpoint, x.began = c, len(c.attempts), a.Endpoint, to, e.at
+	x.call, x.n, x.id, x.endpoint, x.began, x.took = c, len(c.attempts), a.Endpoint, to, e.at, 0
 	c.attempts = append(c.attempts, x)
 	c.out++
 	to.uses++
@@ -245,10 +265,16 @@
 		}
 		return appendRequest(b, c, until-e.at)
 	})
+	if c.Flow != nil {
+		n := x.n
+		x.Upload(c.Flow, c.Size, func() bool { return c.gate.Last(n, e.now()) })
+	}
 	switch {
 	case c.answered || to.left:
 		x.Leave()
 		go e.carry(x)
+	case c.Flow != nil: // its caller's goroutine waits for what comes first
+		go e.carry(x)
 	case c.next == nil && c.inline == nil:
 		c.next = x
 		e.rouse(c)
@@ -259,15 +285,83 @@
 
 // carry carries an attempt in a goroutine of its own.
 func (e *Engine) carry(x *attempt) {
-	x.Carry()
-	e.ended(x)
+	if x.Carry() {
+		e.flow(x)
+	} else {
+		e.ended(x)
+	}
 }
 
 // goOn goes on with an attempt that was interrupted.
 func (e *Engine) goOn(x *attempt) {
-	for x.Run() == upstream.Interrupted {
+	p := x.Run()
+	for p == upstream.Interrupted {
+		p = x.Run()
+	}
+	if p == upstream.Flowing {
+		e.flow(x)
+	} else {
+		e.ended(x)
+	}
+}
+
+// flow takes an answer that has begun and is passed on as it comes: it is the call's, and there
+// is no other from now on. Whoever serves the call carries it on.
+func (e *Engine) flow(x *attempt) (next *attempt, answered bool) {
+	e.mu.Lock()
+	c := x.call
+	if c.answered {
+		e.mu.Unlock()
+		x.Abort()
+		return e.ended(x)
+	}
+	defer e.mu.Unlock()
+	if c.inline == x {
+		c.inline = nil
+	}
+	now := e.now()
+	x.took = e.elapsed(x, now)
+	x.Extend(c.Until)
+	c.flowing = x
+	e.answer(c, Final{Served: &x.Exchange, Flows: true})
+	e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
+		return e.balancer.Head(now, c.ID, x.n, acts)
+	})
+	return e.poll(c)
+}
+
+// elapsed is how long an endpoint has taken over an attempt. While its request's body was still
+// arriving it waited for the caller.
+func (e *Engine) elapsed(x *attempt, now time.Duration) time.Duration {
+	if x.took > 0 {
+		return x.took
 	}
-	e.ended(x)
+	began := x.began
+	if at := x.Whole(); !at.IsZero() {
+		began = max(began, e.epoch+at.Sub(e.origin))
+	}
+	return max(now-began, 1)
+}
+
+// Whole tells that the body of a call has come whole that was still arriving.
+func (c *Call) Whole() { c.engine.arrived(c, balance.BodyWhole) }
+
+// Lost tells that it is kept no longer: no further attempt can have it.
+func (c *Call) Lost() { c.engine.arrived(c, balance.BodyLost) }
+
+func (e *Engine) arrived(c *Call, s balance.BodyState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.answered {
+		return
+	}
+	if c.ID == 0 { // it has not begun
+		c.Arriving = c.Arriving && s != balance.BodyWhole
+		return
+	}
+	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
+		return e.balancer.Body(now, c.ID, s, acts)
+	})
 }
 
 // ended takes what came of an attempt, and returns what the goroutine of the call is to do if
@@ -282,6 +376,9 @@
 	}
 	c.out--
 	result := x.Result()
+	if c.Flow != nil && replay.NeverRan(result) {
+		c.gate.Unrun(x.n)
+	}
 	if result == balance.OK {
 		if !c.answered {
 			e.answer(c, Final{Served: &x.Exchange})
@@ -292,7 +389,7 @@
 	now := e.now()
 	o := balance.Outcome{
 		Request: c.ID, Attempt: x.n, Endpoint: x.id, Result: result, Closed: c.answered,
-		Elapsed: now - x.began, Load: x.Load(),
+		Elapsed: e.elapsed(x, now), Load: x.Load(),
 	}
 	e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Ended(now, o, acts)
@@ -323,7 +420,12 @@
 	b = append(b, "X-Timeout: "...)
 	b = strconv.AppendInt(b, max(wait.Microseconds(), 1), 10)
 	b = append(b, "u\r\n"...)
-	if len(c.Body) > 0 || string(r.Method()) != http.MethodGet {
+	switch {
+	case c.Flow != nil && c.Size < 0:
+		return http1.AppendEnd(http1.AppendCoding(b))
+	case c.Flow != nil:
+		return http1.AppendEnd(http1.AppendLength(b, c.Size))
+	case len(c.Body) > 0 || string(r.Method()) != http.MethodGet:
 		b = http1.AppendLength(b, int64(len(c.Body)))
 	}
 	return append(http1.AppendEnd(b), c.Body...)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/pace"
 	"barleydrum.example/barleydrum/internal/upstream"
 )
 
@@ -83,9 +84,13 @@
 		// reset, and may have run for all that is known.
 		KeepAlive: keep - keep/10,
 		Limits: func() upstream.Limits {
-			most := settings.Load().Endpoints
-			return upstream.Limits{Head: int(most.MaxAnswerHead), Body: int64(most.MaxAnswer)}
+			most, flows := &settings.Load().Endpoints, &settings.Load().Streams
+			return upstream.Limits{
+				Head: int(most.MaxAnswerHead), Body: int64(most.MaxAnswer),
+				Long: int64(flows.MaxAnswer), Look: int64(flows.Look), Unknown: flows.MaxAnswer > 0 && flows.Chunks(),
+			}
 		},
+		Pace: func() pace.Meter { return settings.Load().Streams.Pace() },
 	})
 }
 
--- a/internal/http1/buffer.go
+++ b/internal/http1/buffer.go
@@ -1,6 +1,9 @@
 package http1
 
-import "sync"
+import (
+	"cmp"
+	"sync"
+)
 
 // Buffer holds bytes that have been read and not yet used.
 type Buffer struct {
@@ -56,14 +59,18 @@
 )
 
 // Buffers is a pool of buffers. The zero value is ready.
-type Buffers struct{ pool sync.Pool }
+type Buffers struct {
+	Size int // of a new one, 0 for what holds a short message
+
+	pool sync.Pool
+}
 
 // Get returns an empty buffer.
 func (p *Buffers) Get() *Buffer {
 	if b, ok := p.pool.Get().(*Buffer); ok {
 		return b
 	}
-	return &Buffer{b: make([]byte, 0, bufferSize)}
+	return &Buffer{b: make([]byte, 0, cmp.Or(p.Size, bufferSize))}
 }
 
 // Put takes a buffer back that nobody points into any more.
--- a/internal/http1/chunk.go
+++ b/internal/http1/chunk.go
@@ -4,10 +4,13 @@
 
 // Chunks reads a body of chunks, RFC 9112, 7.1. The zero value, with its limits, is ready.
 type Chunks struct {
-	Limits Limits
-	state  chunkState
-	left   uint64 // of the chunk
-	tail   int    // bytes of trailers so far
+	Limits   Limits
+	Keep     bool   // the trailers are wanted
+	Trailers []byte // those that came, whole lines, once Done
+
+	state chunkState
+	left  uint64 // of the chunk
+	tail  int    // bytes of trailers so far
 }
 
 type chunkState uint8
@@ -42,8 +45,8 @@
 
 // Next takes bytes of the body. It returns how many it has used and the data among them, which
 // points into b; what it has not used is to come again, with more behind it. It uses nothing
-// and returns no data where a line is not whole yet. Extensions and trailers are checked and
-// dropped.
+// and returns no data where a line is not whole yet. Extensions and trailers are checked;
+// extensions are dropped, as are trailers that nobody wants.
 func (c *Chunks) Next(b []byte) (data []byte, n int, err error) {
 	for {
 		rest := b[n:]
@@ -212,6 +215,9 @@
 			return 0, ErrTrailer
 		}
 	}
+	if c.Keep {
+		c.Trailers = append(c.Trailers, b[:i+1]...)
+	}
 	return i + 1, nil
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -311,7 +311,7 @@
 		for _, p := range parts {
 			text, want = AppendChunk(text, p), append(want, p...)
 		}
-		text = AppendLastChunk(text)
+		text = AppendLastChunk(text, nil)
 		got, used, done, err := dechunk(string(text)+"rest", rapid.IntRange(1, 100).Draw(t, "piece"), limits)
 		if got != string(want) || used != len(text) || !done || err != nil {
 			t.Fatalf("%q of %q: %d, %v, %v", got, want, used, done, err)
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -1,6 +1,9 @@
 package http1
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // AppendRequestLine appends a request's start line.
 func AppendRequestLine(b, method, target []byte) []byte {
@@ -41,19 +44,37 @@
 	return append(b, "\r\n"...)
 }
 
+// AppendRetryAfter appends when to come back, in seconds, to the millisecond.
+func AppendRetryAfter(b []byte, d time.Duration) []byte {
+	b = append(b, "Retry-After: "...)
+	b = strconv.AppendFloat(b, d.Seconds(), 'f', 3, 64)
+	return append(b, "\r\n"...)
+}
+
 // AppendEnd ends a head.
 func AppendEnd(b []byte) []byte { return append(b, "\r\n"...) }
 
 // AppendChunk appends a chunk; data must not be empty.
 func AppendChunk(b, data []byte) []byte {
-	b = strconv.AppendInt(b, int64(len(data)), 16)
-	b = append(b, "\r\n"...)
-	b = append(b, data...)
+	b = append(AppendChunkSize(b, len(data)), data...)
+	return append(b, "\r\n"...)
+}
+
+// AppendChunkSize appends what goes before the data of a chunk of n bytes, which is not 0; a
+// line end goes behind it.
+func AppendChunkSize(b []byte, n int) []byte {
+	return append(strconv.AppendInt(b, int64(n), 16), "\r\n"...)
+}
+
+// AppendLastChunk ends a body of chunks, with trailers that are whole lines.
+func AppendLastChunk(b, trailers []byte) []byte {
+	b = append(b, "0\r\n"...)
+	b = append(b, trailers...)
 	return append(b, "\r\n"...)
 }
 
-// AppendLastChunk ends a body of chunks.
-func AppendLastChunk(b []byte) []byte { return append(b, "0\r\n\r\n"...) }
+// AppendCoding appends the field that says that a body comes in chunks.
+func AppendCoding(b []byte) []byte { return AppendField(b, "Transfer-Encoding", "chunked") }
 
 // Continue is the interim answer that a client waits for which expects it.
 const Continue = "HTTP/1.1 100 Continue\r\n\r\n"
--- /dev/null
+++ b/internal/lab/streams.go
@@ -0,0 +1,207 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/body"
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// Streamed says how programs are compared that pass on long bodies.
+type Streamed struct {
+	Streams, Nodes int
+	Body, Answer   int64 // bytes up and down
+	Slow           int   // every so manieth caller is slow, 0 for none
+	Rate           int64 // bytes a second of a slow one, either way
+}
+
+// Check returns an error that names the first value that can't be used.
+func (s Streamed) Check() error {
+	for _, v := range []struct {
+		name      string
+		n, lo, hi int64
+	}{
+		{"callers", int64(s.Streams), 1, 2000}, {"nodes", int64(s.Nodes), 1, 500}, {"body", s.Body, 65 << 10, 1 << 30},
+		{"answer", s.Answer, 65 << 10, 1 << 30}, {"slow", int64(s.Slow), 0, 2000}, {"rate-slow", s.Rate, 1 << 10, 1 << 30},
+	} {
+		if v.n < v.lo || v.n > v.hi {
+			return fmt.Errorf("-%s: %d is not from %d to %d", v.name, v.n, v.lo, v.hi)
+		}
+	}
+	return nil
+}
+
+// streamMemory is what the program is given: its settings must fit, see check's rule streams-memory.
+const streamMemory = 128 << 20
+
+// streamWindow is the window that the settings have where they are left out.
+const streamWindow = 32 << 10
+
+// Streams measures the program beside the standard library's reverse proxy with long bodies, many at
+// once, one core each: how long the quick callers take, CPU, memory and descriptors.
+func Streams(ctx context.Context, cfg Config, how Streamed) error {
+	if err := how.Check(); err != nil {
+		return err
+	}
+	l := &comparison{lab: lab{cfg: cfg, calls: standin.NewCaller(1)}}
+	defer l.close()
+	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+		return err
+	}
+	var err error
+	if l.program = cfg.Program; l.program == "" {
+		l.say("building the program ...")
+		if l.program, err = build(ctx, cfg.Dir); err != nil {
+			return err
+		}
+	}
+	if l.discovery[0], err = standin.NewDiscovery("127.0.0.1:0", false); err != nil {
+		return err
+	}
+	for i := range how.Nodes {
+		s, addr, err := standin.NewBulk(how.Answer)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		l.addrs = append(l.addrs, addr)
+		l.discovery[0].Change(discovery.Instance{ID: fmt.Sprintf("n-%d", i), HostPort: addr, Zone: zones[0], Lifecycle: "up"})
+	}
+	held := body.Limits{Window: streamWindow}.Held()*int64(how.Streams) + body.Block*int64(how.Streams+16)
+	l.say("%d streams of %d and %d bytes at once; the buffers come to %d MB at the most ...", how.Streams, how.Body, how.Answer, held>>20)
+	w := tabwriter.NewWriter(cfg.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\n\tquick callers took\tall took\tMB/s of the quick\tCPU a GiB\tpeak memory\tmost descriptors\tnot served")
+	for _, s := range []*side{
+		{name: "barleydrum", begin: func(int) (*process, error) { return l.streaming(how) }},
+		{name: "httputil.ReverseProxy", begin: func(int) (*process, error) { return l.rival(reverseProxyCommand, 0) }},
+	} {
+		if err := l.streams(ctx, s, how, w); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// streaming starts the program by an operators' file alone.
+func (l *comparison) streaming(how Streamed) (*process, error) {
+	at, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	callers := how.Streams + 16
+	text := fmt.Sprintf(`schema = 1
+[application]
+name = "bulk"
+tier = "bulk"
+listen = %q
+discovery = %q
+[callers]
+connections = %d
+max_head = "4KiB"
+max_body = "16KiB"
+[endpoints]
+connect_time = "2s"
+max_answer = "16KiB"
+[streams]
+max_body = "1GiB"
+max_answer = "1GiB"
+open = %d
+[limits]
+memory = "%dMiB"
+sockets = %d
+[fleet]
+reports = "none"
+[class.%s]
+wanted = "9m"
+deadline = "10m"
+semantics = "keyed"
+scope = "all"
+repeat_window = "1h"
+attempts = 3
+retry_within = "8m"
+`, at[0], l.discovery[0].Addr(), callers, how.Streams, streamMemory>>20, 2*callers+64, class)
+	if err := os.WriteFile(l.file("bulk.toml"), []byte(text), 0o644); err != nil {
+		return nil, err
+	}
+	return begin(l.cfg.Dir, "bulk", at[0], l.program, []string{"-settings", l.file("bulk.toml")}, []string{"PROXY_CONFIG="})
+}
+
+// streams runs a side once.
+func (l *comparison) streams(ctx context.Context, s *side, how Streamed, w *tabwriter.Writer) error {
+	p, err := l.up(ctx, s, 0)
+	if err != nil {
+		return err
+	}
+	var all, quick sync.WaitGroup
+	var wrong atomic.Int64
+	var first atomic.Pointer[error]
+	began := time.Now()
+	for i := range how.Streams {
+		l.ids++
+		b := standin.BulkCaller{
+			Addr: p.addr, Class: class, Path: "order", ID: fmt.Sprintf("%016x", l.ids), Body: how.Body, Answer: how.Answer, Timeout: 5 * time.Minute,
+		}
+		if how.Slow > 0 && i%how.Slow == 0 {
+			b.Rate = how.Rate
+		} else {
+			quick.Add(1)
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := b.Do(); err != nil {
+				wrong.Add(1)
+				first.CompareAndSwap(nil, &err)
+			}
+			if b.Rate == 0 {
+				quick.Done()
+			}
+		}()
+	}
+	stop, most := make(chan struct{}), make(chan int, 1)
+	go func() {
+		n := 0
+		for {
+			if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
+				n = max(n, len(fds))
+			}
+			select {
+			case <-stop:
+				most <- n
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}()
+	quick.Wait()
+	took := time.Since(began)
+	all.Wait()
+	total := time.Since(began)
+	close(stop)
+	peak, err := p.peak()
+	if err != nil {
+		return err
+	}
+	if err := p.stop(); err != nil {
+		return err
+	}
+	if e := first.Load(); e != nil {
+		l.say("%s: one of those not served: %v", s.name, *e)
+	}
+	n := how.Streams
+	if how.Slow > 0 {
+		n -= (how.Streams + how.Slow - 1) / how.Slow
+	}
+	bytes := float64(how.Body + how.Answer)
+	fmt.Fprintf(w, "%s\t%v\t%v\t%.0f\t%v\t%.1f MB\t%d\t%d\n", s.name, took.Round(10*time.Millisecond), total.Round(10*time.Millisecond),
+		float64(n)*bytes/(1<<20)/took.Seconds(), (time.Duration(float64(p.used()) / (float64(how.Streams) * bytes / (1 << 30)))).Round(time.Millisecond),
+		float64(peak)/1024, <-most, wrong.Load())
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,226 @@
+package replay
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/body"
+)
+
+// world plays a request against the module: probes find their endpoints idle at once, timers ring
+// in their order, and whatever it says of the request is noted.
+type world struct {
+	t      *testing.T
+	b      *balance.Balancer
+	now    time.Duration
+	timers []struct {
+		at time.Duration
+		t  balance.Timer
+	}
+	sent   []balance.EndpointID
+	final  string
+	probes bool // are answered
+}
+
+const (
+	wanted = 10 * time.Second
+	window = 3 * time.Second // over the hedge's time, under what is wanted
+)
+
+func newWorld(t *testing.T, s balance.Semantics, scope balance.Scope, inScope bool) *world {
+	w := &world{t: t, now: time.Hour, probes: true}
+	k := balance.Class{Name: "k", Goal: wanted, Deadline: wanted, Worth: 1, Semantics: s, Scope: scope}
+	if s == balance.Keyed {
+		if k.RepeatWindow = window; !inScope {
+			k.RepeatWindow = time.Millisecond
+		}
+	}
+	var err error
+	w.b, err = balance.New(balance.Config{
+		Balancers: 1, Classes: []balance.Class{k}, Reporting: balance.ReportsProbe,
+		Limits: balance.Limits{MaxAttempts: 6, SecondCopies: true, Probes: true, Cancel: true, ConnectTimeout: time.Second, KeepAlive: time.Minute},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.list(balance.InService)
+	for id := range balance.RequestID(100) { // calls are quick, so that one is hedged in time
+		w.do(w.b.Request(w.now, balance.Request{ID: 10 + id, Budget: wanted}, nil))
+		to := w.sent[0]
+		w.now += 100 * time.Millisecond
+		w.do(w.b.Ended(w.now, balance.Outcome{Request: 10 + id, Endpoint: to, Result: balance.OK, Closed: true, Elapsed: 100 * time.Millisecond}, nil))
+		w.sent = nil
+	}
+	return w
+}
+
+func (w *world) list(s balance.State) {
+	var list []balance.Endpoint
+	for id := range balance.EndpointID(4) {
+		list = append(list, balance.Endpoint{ID: id + 1, State: s, Weight: 1})
+	}
+	w.do(w.b.Endpoints(w.now, balance.ListFull, list, nil))
+}
+
+func (w *world) do(acts []balance.Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case balance.Send:
+			w.sent = append(w.sent, a.Endpoint)
+		case balance.Shed:
+			w.final = "refuse"
+		case balance.Fail:
+			w.final = "fail"
+		case balance.SetTimer:
+			w.timers = append(w.timers, struct {
+				at time.Duration
+				t  balance.Timer
+			}{w.now + a.Delay, a.Timer})
+		case balance.Probe:
+			if w.probes {
+				w.do(w.b.Probed(w.now, a.Endpoint, balance.OK, &balance.Load{Queue: -1, Util: -1, LatencyMS: -1, Served: -1, Failed: -1}, nil))
+			}
+		}
+	}
+}
+
+// run rings what falls due within a time.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; ; {
+		next := -1
+		for i, t := range w.timers {
+			if t.at <= end && (next < 0 || t.at < w.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			w.now = end
+			return
+		}
+		t := w.timers[next]
+		w.timers = append(w.timers[:next], w.timers[next+1:]...)
+		w.now = max(w.now, t.at)
+		w.do(w.b.Fired(w.now, t.t, nil))
+	}
+}
+
+// begin has a request begin, and its first attempt go out. The body comes to its state.
+func (w *world) begin(state body.State) {
+	w.do(w.b.Request(w.now, balance.Request{ID: 1, Budget: wanted, Arriving: true}, nil))
+	if len(w.sent) != 1 {
+		w.t.Fatalf("%d attempts at first", len(w.sent))
+	}
+	switch state {
+	case body.Kept:
+		w.do(w.b.Body(w.now, 1, balance.BodyWhole, nil))
+	case body.Gone:
+		w.do(w.b.Body(w.now, 1, balance.BodyLost, nil))
+	}
+}
+
+func (w *world) end(r balance.Result) {
+	w.now += 10 * time.Millisecond
+	w.do(w.b.Ended(w.now, balance.Outcome{Request: 1, Endpoint: w.sent[0], Result: r, Elapsed: 10 * time.Millisecond}, nil))
+}
+
+var results = map[Past]balance.Result{Unrun: balance.ConnectFailed, MayHaveRun: balance.Error}
+
+// The table holds for the module, cell by cell: what it allows happens, and nothing else does.
+func TestModuleKeepsTheTable(t *testing.T) {
+	for _, k := range []struct {
+		s       balance.Semantics
+		scope   balance.Scope
+		inScope bool
+	}{
+		{balance.Safe, 0, true}, {balance.Keyed, balance.ScopeAll, true}, {balance.Keyed, balance.ScopeAll, false},
+		{balance.Keyed, balance.ScopeZone, true}, {balance.Keyed, balance.ScopeZone, false},
+		{balance.Keyed, balance.ScopeCell, true}, {balance.Keyed, balance.ScopeCell, false}, {balance.Unsafe, 0, true},
+	} {
+		for _, state := range []body.State{body.Arriving, body.Kept, body.Gone} {
+			for _, past := range []Past{Unrun, MayHaveRun} {
+				name := fmt.Sprintf("semantics %d, scope %d, in scope %v, body %d, past %d", k.s, k.scope, k.inScope, state, past)
+				want := Allowed(k.s, k.scope, state, past, k.inScope)
+
+				w := newWorld(t, k.s, k.scope, k.inScope)
+				w.begin(state)
+				w.end(results[past])
+				w.run(wanted / 2)
+				if got := len(w.sent) > 1; got != want.Again {
+					t.Errorf("%s: again %v, want %v", name, got, want.Again)
+				}
+
+				w = newWorld(t, k.s, k.scope, k.inScope)
+				w.begin(state)
+				w.list(balance.Gone)
+				w.end(results[past])
+				w.run(2 * wanted)
+				if got := w.final == "refuse"; got != want.Refuse || w.final == "" || len(w.sent) > 1 {
+					t.Errorf("%s: %q, refuse %v wanted", name, w.final, want.Refuse)
+				}
+
+				w = newWorld(t, k.s, k.scope, k.inScope)
+				w.begin(state)
+				w.run(wanted * 9 / 10)
+				if got := len(w.sent) > 1; got != want.Copy {
+					t.Errorf("%s: copy %v, want %v", name, got, want.Copy)
+				}
+			}
+		}
+	}
+}
+
+// The page shows the table as it is.
+func TestPageShowsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/bodies.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want strings.Builder
+	for i, row := range Rows() {
+		fmt.Fprintf(&want, "| %s |\n", strings.Join(row, " | "))
+		if i == 0 {
+			fmt.Fprintf(&want, "|%s\n", strings.Repeat(" --- |", len(row)))
+		}
+	}
+	if !strings.Contains(string(page), want.String()) {
+		t.Errorf("it should show\n%s", want.String())
+	}
+}
+
+// Whatever attempts become whole when, none does later than the window after another that may
+// have run; those that never ran bound nobody.
+func TestGateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g Gate
+		keyed := rapid.Bool().Draw(t, "keyed")
+		s := balance.Safe
+		if keyed {
+			s = balance.Keyed
+		}
+		g.Reset(s, window)
+		ran := map[int]time.Duration{}
+		now := time.Hour
+		for n := range rapid.IntRange(1, 12).Draw(t, "attempts") {
+			now += time.Duration(rapid.Int64Range(0, int64(window)).Draw(t, "after"))
+			first := now
+			for _, at := range ran {
+				first = min(first, at)
+			}
+			if got, want := g.Last(n, now), !keyed || now-first < window; got != want {
+				t.Fatalf("%v after the first: %v", now-first, got)
+			} else if got {
+				ran[n] = now
+			}
+			if rapid.Bool().Draw(t, "never ran") {
+				g.Unrun(n)
+				delete(ran, n)
+			}
+		}
+	})
+}
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"net"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
 	"testing"
 	"time"
 
+	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/engine"
 	"barleydrum.example/barleydrum/internal/standin"
 )
@@ -44,3 +49,49 @@
 		}
 	}
 }
+
+// BenchmarkFlow passes 8 MiB up and 8 MiB down on one connection, beside the standard library's
+// reverse proxy; callers and node are in the same process.
+func BenchmarkFlow(b *testing.B) {
+	const size = 8 << 20
+	node, addr, err := standin.NewBulk(size)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer node.Close()
+	sides := map[string]string{}
+	for name, text := range map[string]string{"in files": flows, "not kept": "[streams]\nmax_body = \"64MiB\"\nmax_answer = \"64MiB\"\n"} {
+		c := config.Merge(standin.Config(b, standin.Up(addr)).Platform, settings(b, text))
+		e, err := engine.New(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s, err := NewServer(c, e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer s.Close()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		go s.Serve(l)
+		sides[name] = l.Addr().String()
+	}
+	rival := httptest.NewServer(httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: addr}))
+	defer rival.Close()
+	sides["ReverseProxy"] = rival.Listener.Addr().String()
+	id := 0
+	for name, to := range sides {
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(2 * size)
+			for b.Loop() {
+				id++
+				one := standin.BulkCaller{Addr: to, Class: "book", Path: "a", ID: strconv.Itoa(id), Body: size, Answer: size, Timeout: patience}
+				if err := one.Do(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/flow_test.go
@@ -0,0 +1,887 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/body"
+	"barleydrum.example/barleydrum/internal/discovery"
+	"barleydrum.example/barleydrum/internal/standin"
+)
+
+// flows takes long bodies both ways, kept in files.
+const flows = `
+[streams]
+max_body = "64MiB"
+max_answer = "64MiB"
+chunked = true
+memory = "128KiB"
+memory_all = "1MiB"
+file = "64MiB"
+files_all = "256MiB"
+rate_window = "10s"
+`
+
+// flowsSlow finds slow sides soon.
+var flowsSlow = strings.Replace(flows, `"10s"`, `"100ms"`, 1) + "least_rate = \"100KiB\"\n"
+
+func noise(n int) []byte {
+	p := make([]byte, n)
+	rand.NewChaCha8([32]byte{byte(n), byte(n >> 8)}).Read(p)
+	return p
+}
+
+// ended waits until a sidecar holds nothing of any call or body.
+func (p *proxy) ended() {
+	p.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		s := p.engine.Stats()
+		f, b := p.server.Flows()
+		b.Lost, b.Failed = 0, 0
+		if s.Calls == 0 && s.Attempts == 0 && f.Open == 0 && b == (body.Stats{}) {
+			return
+		}
+		if time.Now().After(end) {
+			p.t.Fatalf("left: %+v, %+v, %+v", s, f, b)
+		}
+	}
+}
+
+// upload returns a request with a long body, in chunks if its length is not told.
+func (p *proxy) upload(class string, body io.Reader, length int64) *http.Request {
+	req := p.request(class, "")
+	req.Method = http.MethodPost
+	req.Body, req.ContentLength = io.NopCloser(body), length
+	return req
+}
+
+// Long bodies pass unchanged in every framing, both ways at once, with net/http on both ends.
+func TestFlowsBothWays(t *testing.T) {
+	up, down := noise(3<<20), noise(2<<20+1)
+	for _, asked := range []string{"length", "chunks"} {
+		for _, answered := range []string{"length", "chunks", "close"} {
+			addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+				h := sha256.New()
+				if _, err := io.Copy(h, r.Body); err != nil || [32]byte(h.Sum(nil)) != sha256.Sum256(up) {
+					t.Errorf("%s: the node got something else: %v", asked, err)
+				}
+				if got := r.Trailer.Get("Checksum"); asked == "chunks" && got != "up" {
+					t.Errorf("trailer %q", got)
+				}
+				switch answered {
+				case "length":
+					w.Header().Set("Content-Length", fmt.Sprint(len(down)))
+				case "chunks":
+					w.Header().Set("Trailer", "Checksum")
+					defer w.Header().Set("Checksum", "down")
+				case "close":
+					c, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+					c.Write(down)
+					c.Close()
+					return
+				}
+				w.Write(down)
+			})
+			p := start(t, withSettings(t, standin.Up(addr), flows))
+			length := int64(len(up))
+			if asked == "chunks" {
+				length = -1
+			}
+			req := p.upload("book", bytes.NewReader(up), length)
+			if asked == "chunks" {
+				req.Trailer = http.Header{"Checksum": {"up"}}
+			}
+			resp, got := p.send(req)
+			if resp.StatusCode != 200 || got != string(down) {
+				t.Errorf("%s, %s: %s, %d bytes", asked, answered, resp.Status, len(got))
+			}
+			if trailer := resp.Trailer.Get("Checksum"); answered == "chunks" && trailer != "down" {
+				t.Errorf("trailer %q", trailer)
+			}
+			p.ended()
+		}
+	}
+}
+
+// A connection serves on after bodies that came whole, either way.
+func TestFlowsKeepConnections(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		w.Write(text)
+	})
+	p := start(t, withSettings(t, standin.Up(addr), flows))
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	want := noise(300_000)
+	for i, class := range []string{"book", "read", "book"} {
+		req := p.upload(class, bytes.NewReader(want), int64(len(want)))
+		if i == 1 {
+			req.ContentLength = -1
+		}
+		go req.Write(c)
+		resp, err := http.ReadResponse(in, req)
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || !bytes.Equal(got, want) {
+			t.Fatal(i, resp.Status, len(got), err)
+		}
+	}
+	p.ended()
+}
+
+// breaker is a node that resets the connection after so many bytes of the first request's body,
+// and keeps what it got of each that came whole.
+type breaker struct {
+	after int64 // bytes; -1 for all of them, before it answers
+	mu    sync.Mutex
+	seen  int
+	whole [][32]byte
+}
+
+func (b *breaker) serve(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.seen++
+	first := b.seen == 1
+	b.mu.Unlock()
+	if first && b.after >= 0 {
+		io.CopyN(io.Discard, r.Body, b.after)
+		reset(w)
+		return
+	}
+	h := sha256.New()
+	if _, err := io.Copy(h, r.Body); err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.whole = append(b.whole, [32]byte(h.Sum(nil)))
+	b.mu.Unlock()
+	if first {
+		reset(w)
+	}
+}
+
+func reset(w http.ResponseWriter) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// An endpoint resets in the middle of an upload, at every stage: what was not whole has not run,
+// and is sent again from its begin, byte for byte, also of the class that may not run twice. What
+// was handed to the kernel whole may have run, also where the endpoint has not read all of it: the
+// body is longer than the kernel holds.
+func TestResetMidUpload(t *testing.T) {
+	const size = 24 << 20
+	want := noise(size)
+	for _, class := range []string{"read", "book", "pay"} {
+		for _, after := range []int64{1, size / 2, size - 1, -1} {
+			b := &breaker{after: after}
+			addr := standin.HTTP(t, b.serve)
+			p := start(t, withSettings(t, standin.Up(addr, standin.HTTP(t, b.serve)), flows))
+			resp, _ := p.send(p.upload(class, bytes.NewReader(want), size))
+			served := after >= 0 && after <= size/2 || class != "pay"
+			if got := resp.StatusCode; served && got != 200 || !served && got != http.StatusBadGateway {
+				t.Errorf("%s after %d: %s", class, after, resp.Status)
+			}
+			b.mu.Lock()
+			if n := map[bool]int{true: 2, false: 1}[served]; b.seen != n {
+				t.Errorf("%s after %d: sent %d times, want %d", class, after, b.seen, n)
+			}
+			for _, sum := range b.whole {
+				if sum != sha256.Sum256(want) {
+					t.Errorf("%s after %d: a node got something else", class, after)
+				}
+			}
+			b.mu.Unlock()
+			p.ended()
+		}
+	}
+}
+
+// disk is a file that is full after so many bytes.
+type disk struct {
+	room  int64
+	short bool
+	err   error
+	data  []byte
+}
+
+func (d *disk) WriteAt(p []byte, off int64) (int, error) {
+	n := int(min(int64(len(p)), max(d.room-off, 0)))
+	d.data = append(d.data[:off], p[:n]...)
+	if n < len(p) && !d.short {
+		return n, d.err
+	}
+	return n, nil
+}
+
+func (d *disk) ReadAt(p []byte, off int64) (int, error) { return copy(p, d.data[off:]), nil }
+func (d *disk) Close() error                            { return nil }
+
+// A body that can't be kept, for whatever reason, goes out once and no more: a node that resets
+// it costs a safe or keyed request a refusal, an unsafe one that may have run a failure.
+func TestNotKept(t *testing.T) {
+	const size = 1 << 20
+	want := noise(size)
+	for name, store := range map[string]*body.Store{
+		"no file": body.NewStoreWith(func() (body.File, error) { return nil, syscall.EMFILE }),
+		"ENOSPC":  body.NewStoreWith(func() (body.File, error) { return &disk{room: size / 4, err: syscall.ENOSPC}, nil }),
+		"EDQUOT":  body.NewStoreWith(func() (body.File, error) { return &disk{room: size / 4, err: syscall.EDQUOT}, nil }),
+		"short":   body.NewStoreWith(func() (body.File, error) { return &disk{room: size/4 + 5, short: true}, nil }),
+	} {
+		for class, status := range map[string]int{"read": 503, "book": 503, "pay": 502} {
+			b := &breaker{after: -1}
+			p := start(t, withSettings(t, standin.Up(standin.HTTP(t, b.serve), standin.HTTP(t, b.serve)), flows))
+			p.server.bodies = store
+			resp, _ := p.send(p.upload(class, bytes.NewReader(want), size))
+			b.mu.Lock()
+			if resp.StatusCode != status || b.seen != 1 || len(b.whole) != 1 || b.whole[0] != sha256.Sum256(want) {
+				t.Errorf("%s, %s: %s, sent %d times, %d whole", name, class, resp.Status, b.seen, len(b.whole))
+			}
+			b.mu.Unlock()
+			p.ended()
+		}
+	}
+}
+
+// A caller of a few bytes a second is ended, told that it was slow, and its endpoint is none the
+// worse for it: the next request goes there at once.
+func TestSlowCaller(t *testing.T) {
+	var broken atomic.Int32
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			broken.Add(1)
+		}
+	})
+	p := start(t, withSettings(t, standin.Up(addr), flowsSlow))
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: slow\r\nX-Priority-Class: pay\r\nX-Timeout: 20000m\r\nContent-Length: 1000000\r\n\r\n")
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				if _, err := c.Write([]byte("x")); err != nil {
+					return
+				}
+			}
+		}
+	}()
+	c.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(why), "caller is slow") {
+		t.Errorf("%s %q", resp.Status, why)
+	}
+	p.ended()
+	if resp, _ := p.send(p.request("pay", "x")); resp.StatusCode != 200 {
+		t.Errorf("the endpoint is blamed: %s", resp.Status)
+	}
+	if f, _ := p.server.Flows(); f.SlowCallers != 1 || f.SlowEndpoints != 0 || broken.Load() != 1 {
+		t.Errorf("%+v, %d broken at the node", f, broken.Load())
+	}
+}
+
+// An endpoint that takes an upload too slowly has not run it: the upload goes to another.
+func TestSlowEndpoint(t *testing.T) {
+	want := noise(32 << 20) // more than the kernel's buffers take
+	var first atomic.Bool
+	stop := make(chan struct{})
+	node := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			<-stop
+			return
+		}
+		h := sha256.New()
+		if io.Copy(h, r.Body); [32]byte(h.Sum(nil)) != sha256.Sum256(want) {
+			t.Error("the second node got something else")
+		}
+	}
+	p := start(t, withSettings(t, standin.Up(standin.HTTP(t, node), standin.HTTP(t, node)), flowsSlow))
+	defer close(stop)
+	if resp, _ := p.send(p.upload("pay", bytes.NewReader(want), int64(len(want)))); resp.StatusCode != 200 || !first.Load() {
+		t.Errorf("%s", resp.Status)
+	}
+	p.ended()
+}
+
+// An endpoint answers before it has read the request, while the caller goes on sending, or has
+// stopped: the answer comes at once and whole, the connections end, and nothing is left.
+func TestAnswersEarly(t *testing.T) {
+	long := noise(2 << 20)
+	for _, c := range []struct {
+		name   string
+		answer []byte
+		stops  bool
+	}{
+		{"short", []byte("enough"), false}, {"short, the caller has stopped", []byte("enough"), true},
+		{"long", long, false}, {"long, the caller has stopped", long, true},
+	} {
+		addr := standin.TCP(t, func(n net.Conn) {
+			defer n.Close()
+			in := bufio.NewReader(n)
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(c.answer))
+			n.Write(c.answer)
+			io.Copy(io.Discard, in)
+		})
+		p := start(t, withSettings(t, standin.Up(addr), flows))
+		caller, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(caller, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: e\r\nX-Priority-Class: pay\r\nContent-Length: 60000000\r\n\r\n")
+		caller.Write(make([]byte, 100_000))
+		if !c.stops {
+			go io.Copy(caller, zeros{})
+		}
+		caller.SetReadDeadline(time.Now().Add(patience))
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil {
+			t.Fatal(c.name, err)
+		}
+		if got, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || !bytes.Equal(got, c.answer) || !resp.Close {
+			t.Errorf("%s: %s, %d bytes, %v, close %v", c.name, resp.Status, len(got), err, resp.Close)
+		}
+		caller.Close()
+		p.ended()
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Once part of an answer has gone to the caller there is no other: one that breaks off, or stops,
+// is seen as broken by the caller, in every framing; and no further attempt is made.
+func TestAnswerBreaksOff(t *testing.T) {
+	part := noise(200_000)
+	for _, framing := range []string{"Content-Length: 1000000", "Transfer-Encoding: chunked"} {
+		for _, how := range []string{"reset", "end", "silence", "bad chunk"} {
+			var seen atomic.Int32
+			stop := make(chan struct{})
+			addr := standin.TCP(t, func(n net.Conn) {
+				defer n.Close()
+				if err := standin.ReadRequest(bufio.NewReader(n)); err != nil {
+					return
+				}
+				seen.Add(1)
+				fmt.Fprintf(n, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", framing)
+				if strings.HasPrefix(framing, "T") {
+					fmt.Fprintf(n, "%x\r\n%s\r\n", len(part), part)
+				} else {
+					n.Write(part)
+				}
+				switch how {
+				case "reset":
+					n.(*net.TCPConn).SetLinger(0)
+				case "silence":
+					<-stop
+				case "bad chunk":
+					io.WriteString(n, "zz\r\n")
+				}
+			})
+			p := start(t, withSettings(t, standin.Up(addr, addr), flowsSlow))
+			resp, err := http.DefaultTransport.RoundTrip(p.request("read", ""))
+			if err == nil {
+				var got []byte
+				got, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if !bytes.HasPrefix(append(part, "zz\r\n"...), got) {
+					t.Errorf("%s, %s: something else came", framing, how)
+				}
+			}
+			if err == nil || seen.Load() != 1 {
+				t.Errorf("%s, %s: %v after %d attempts", framing, how, err, seen.Load())
+			}
+			close(stop)
+			p.ended()
+		}
+	}
+}
+
+// Until part of an answer has gone to the caller, another attempt may answer.
+func TestLookFirst(t *testing.T) {
+	var seen atomic.Int32
+	addr := standin.TCP(t, func(n net.Conn) {
+		defer n.Close()
+		if err := standin.ReadRequest(bufio.NewReader(n)); err != nil {
+			return
+		}
+		if seen.Add(1) == 1 { // less than what is looked at
+			fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n%s", noise(8000))
+			return
+		}
+		fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n%s", noise(100000))
+	})
+	p := start(t, withSettings(t, standin.Up(addr, addr), flows))
+	if resp, got := p.send(p.request("read", "")); resp.StatusCode != 200 || got != string(noise(100000)) || seen.Load() != 2 {
+		t.Errorf("%s, %d bytes, %d attempts", resp.Status, len(got), seen.Load())
+	}
+	p.ended()
+}
+
+// A caller that stops reading a long answer is ended, or goes by itself: the endpoint is let go.
+func TestCallerStopsReading(t *testing.T) {
+	for _, goes := range []bool{false, true} {
+		let := make(chan struct{})
+		addr := standin.TCP(t, func(n net.Conn) {
+			defer n.Close()
+			if err := standin.ReadRequest(bufio.NewReader(n)); err != nil {
+				return
+			}
+			fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n")
+			io.CopyN(n, zeros{}, 60_000_000)
+			close(let)
+		})
+		text := flowsSlow
+		if goes {
+			text = flows
+		}
+		p := start(t, withSettings(t, standin.Up(addr), text))
+		caller, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.request("read", "").Write(caller)
+		io.ReadFull(caller, make([]byte, 1000))
+		if goes {
+			caller.Close()
+		}
+		wait(t, let, "the endpoint is let go")
+		p.ended()
+		if f, _ := p.server.Flows(); f.Broken != 1 || f.SlowEndpoints != 0 || !goes && f.SlowCallers != 1 {
+			t.Errorf("%+v", f)
+		}
+		caller.Close()
+	}
+}
+
+// A caller goes in the middle of its upload: no endpoint gets it whole.
+func TestCallerGoesMidUpload(t *testing.T) {
+	came := make(chan error, 1)
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		came <- err
+	})
+	p := start(t, withSettings(t, standin.Up(addr), flows))
+	for _, chunked := range []string{"Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 500_000), "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: g\r\nX-Priority-Class: pay\r\n%s", chunked)
+		for p.engine.Stats().Attempts == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.Close()
+		if err := <-came; err == nil {
+			t.Error("the node got a whole request")
+		}
+		p.ended()
+	}
+}
+
+// Chunks that can be read in two ways, and bodies that are too long, are refused, and what went
+// on of them never becomes a whole request at the endpoint.
+func TestFlowFraming(t *testing.T) {
+	var whole atomic.Int32
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	})
+	p := start(t, withSettings(t, standin.Up(addr), strings.Replace(flows, `max_body = "64MiB"`, `max_body = "100kB"`, 1)))
+	good := "5\r\nhello\r\n"
+	for text, status := range map[string]int{
+		good + "zz\r\n":                         400,
+		good + "5\nhello\r\n":                   400,
+		good + "5\r\nhelloX":                    400,
+		good + "-1\r\n":                         400,
+		good + " 5\r\nhello\r\n":                400,
+		good + "0x5\r\nhello\r\n":               400,
+		good + "1111111111111111\r\n":           400,
+		good + "0\r\nHost: b\r\n\r\n":           400,
+		good + "0\r\nContent-Length: 3\r\n\r\n": 400,
+		good + "5;" + strings.Repeat("x", 300):  400,
+		good + "0\r\n" + strings.Repeat("A: "+string(make([]byte, 0))+strings.Repeat("b", 90)+"\r\n", 60): 431,
+		strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", 50_000, make([]byte, 50_000)), 3):                      413,
+	} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: f\r\nX-Priority-Class: pay\r\nTransfer-Encoding: chunked\r\n\r\n%s", text)
+		c.SetReadDeadline(time.Now().Add(patience))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("%.40q: %v", text, err)
+		}
+		if resp.StatusCode != status || !resp.Close {
+			t.Errorf("%.40q: %s, close %v, want %d", text, resp.Status, resp.Close, status)
+		}
+		c.Close()
+		p.ended()
+	}
+	if n := whole.Load(); n > 0 {
+		t.Errorf("the node got %d whole requests", n)
+	}
+	if resp, _ := p.send(p.upload("pay", bytes.NewReader(noise(100_001)), 100_001)); resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("one byte too many: %s", resp.Status)
+	}
+}
+
+// A caller that waits for a 100 gets it once its body is wanted, and none where it is not.
+func TestContinueOnlyIfWanted(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	for name, list := range map[string]discovery.List{"wanted": standin.Up(addr), "not wanted": standin.Up()} {
+		p := start(t, withSettings(t, list, flows))
+		c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: w\r\nX-Priority-Class: pay\r\nX-Timeout: 500m\r\n"+
+			"Expect: 100-continue\r\nContent-Length: 100000\r\n\r\n")
+		c.SetReadDeadline(time.Now().Add(patience))
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if name == "wanted" {
+			if resp.StatusCode != 100 {
+				t.Errorf("%s: %s", name, resp.Status)
+			}
+			c.Write(make([]byte, 100_000))
+			if resp, err = http.ReadResponse(in, nil); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != 200 {
+				t.Errorf("%s: then %s", name, resp.Status)
+			}
+		} else if resp.StatusCode != 503 {
+			t.Errorf("%s: %s", name, resp.Status)
+		}
+		c.Close()
+		p.ended()
+	}
+}
+
+// Only so many such requests are let in; one more is told when to come back, while short ones
+// are served as ever.
+func TestFlowsAreBounded(t *testing.T) {
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	c := withSettings(t, standin.Up(addr), flows+"open = 1\n")
+	c.Module.Limits.MaxRetryAfter = 2 * time.Second
+	p := start(t, c)
+	in, out := io.Pipe()
+	done := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := p.send(p.upload("pay", in, 100_000))
+		done <- resp
+	}()
+	out.Write(make([]byte, 1000))
+	for f, _ := p.server.Flows(); f.Open == 0; f, _ = p.server.Flows() {
+		time.Sleep(time.Millisecond)
+	}
+	req := p.upload("book", bytes.NewReader(make([]byte, 100_000)), 100_000)
+	req.Header.Set("X-Request-ID", "another")
+	if resp, _ := p.send(req); resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "2.000" {
+		t.Errorf("%s %v", resp.Status, resp.Header)
+	}
+	req = p.request("pay", "short")
+	req.Header.Set("X-Request-ID", "a third")
+	if resp, _ := p.send(req); resp.StatusCode != 200 {
+		t.Errorf("a short one: %s", resp.Status)
+	}
+	out.Write(make([]byte, 99_000))
+	out.Close()
+	if resp := <-done; resp.StatusCode != 200 {
+		t.Errorf("the first: %s", resp.Status)
+	}
+	p.ended()
+}
+
+// An endpoint drains in the middle of a long upload: what runs there goes on to its end, and
+// nothing new is sent there.
+func TestDrainMidUpload(t *testing.T) {
+	var old, other atomic.Int32
+	list := standin.Up(standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		old.Add(1)
+		io.Copy(io.Discard, r.Body)
+	}))
+	p := start(t, withSettings(t, list, flows))
+	in, out := io.Pipe()
+	done := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := p.send(p.upload("pay", in, 500_000))
+		done <- resp
+	}()
+	out.Write(make([]byte, 200_000))
+	for old.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	list.Instances[0].Lifecycle = "draining"
+	fresh := standin.Up(standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) { other.Add(1) })).Instances[0]
+	fresh.ID = "s-fresh"
+	list.Instances = append(list.Instances, fresh)
+	p.engine.List(&list)
+	req := p.request("pay", "short")
+	req.Header.Set("X-Request-ID", "another")
+	if resp, _ := p.send(req); resp.StatusCode != 200 {
+		t.Errorf("the next: %s", resp.Status)
+	}
+	out.Write(make([]byte, 300_000))
+	out.Close()
+	if resp := <-done; resp.StatusCode != 200 || old.Load() != 1 || other.Load() != 1 {
+		t.Errorf("%s, %d at the old, %d at the new", resp.Status, old.Load(), other.Load())
+	}
+	p.ended()
+}
+
+// The end and a change of settings come while 100 streams are open: all get their answers whole.
+func TestShutdownAndReloadWithStreams(t *testing.T) {
+	const streams, half = 100, 100_000
+	addr := standin.HTTP(t, echo)
+	p := start(t, withSettings(t, standin.Up(addr), flows))
+	want := noise(2 * half)
+	var begun, ended sync.WaitGroup
+	rest := make(chan struct{})
+	for i := range streams {
+		begun.Add(1)
+		ended.Add(1)
+		go func() {
+			defer ended.Done()
+			in, out := io.Pipe()
+			go func() {
+				out.Write(want[:half])
+				begun.Done()
+				<-rest
+				out.Write(want[half:])
+				out.Close()
+			}()
+			req := p.upload("book", in, int64(len(want)))
+			req.Header.Set("X-Request-ID", fmt.Sprint("s", i))
+			resp, err := new(http.Transport).RoundTrip(req)
+			if err != nil {
+				t.Error(i, err)
+				return
+			}
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != 200 || !bytes.Equal(got, want) {
+				t.Error(i, resp.Status, len(got), err)
+			}
+			resp.Body.Close()
+		}()
+	}
+	begun.Wait()
+	p.engine.Apply(settings(t, strings.Replace(flows, `"128KiB"`, `"0"`, 1)))
+	down := make(chan struct{})
+	go func() {
+		p.server.Shutdown()
+		close(down)
+	}()
+	for !p.server.door.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	close(rest)
+	ended.Wait()
+	wait(t, down, "shutdown")
+	p.ended()
+}
+
+// A keyed upload that is sent again, and would be whole only after its key is forgotten where it
+// may have run, never becomes whole.
+func TestUploadPastWindow(t *testing.T) {
+	var whole atomic.Int32
+	first := make(chan struct{}, 2)
+	second := make(chan struct{})
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case first <- struct{}{}:
+		default:
+		}
+		if len(first) == 2 {
+			<-second // it is not read until the window has passed
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+		if len(first) == 1 {
+			first <- struct{}{}
+			time.AfterFunc(600*time.Millisecond, func() { close(second) })
+			reset(w)
+		}
+	})
+	c := withSettings(t, standin.Up(addr, addr), flows)
+	c.Module.Classes[c.Classes["book"]].RepeatWindow = 300 * time.Millisecond
+	p := start(t, c)
+	want := noise(32 << 20)
+	resp, err := http.DefaultTransport.RoundTrip(p.upload("book", bytes.NewReader(want), int64(len(want))))
+	if err == nil {
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != 503 { // all endpoints drop its repeats, so that coming again does no harm
+			t.Errorf("%s", resp.Status)
+		}
+	}
+	p.ended()
+	if n := whole.Load(); n != 1 {
+		t.Errorf("it was whole %d times", n)
+	}
+}
+
+// A random mix of bodies, faults and settings: exactly one final answer for each request, an
+// effect at most once for each unsafe one, nothing whole that is not as it was sent, and nothing
+// left.
+func TestFlowsAtRandom(t *testing.T) {
+	const seed = 20261201
+	rng := rand.New(rand.NewPCG(seed, 0))
+	type sent struct {
+		sum   [32]byte
+		class string
+	}
+	var mu sync.Mutex
+	asked, ran := map[string]sent{}, map[string]int{}
+	fault := func(id string, attempt int) uint64 {
+		return uint64(id[0])*31 + uint64(id[len(id)-1])*7 + uint64(attempt)*13
+	}
+	node := func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-ID")
+		mu.Lock()
+		attempt := ran[id+" seen"]
+		ran[id+" seen"]++
+		mu.Unlock()
+		switch fault(id, attempt) % 7 {
+		case 0:
+			io.CopyN(io.Discard, r.Body, 90_000)
+			reset(w)
+			return
+		case 1:
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		case 2:
+			w.Header().Set("X-Not-Processed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		h := sha256.New()
+		if _, err := io.Copy(h, r.Body); err != nil {
+			return
+		}
+		mu.Lock()
+		ran[id]++
+		if [32]byte(h.Sum(nil)) != asked[id].sum {
+			t.Errorf("%s: whole, and not as it was sent", id)
+		}
+		mu.Unlock()
+		switch fault(id, attempt) % 11 {
+		case 3:
+			reset(w)
+		case 4, 5:
+			w.Write(noise(200_000))
+		}
+	}
+	addrs := []string{standin.HTTP(t, node), standin.HTTP(t, node), standin.HTTP(t, node), "127.0.0.1:1"}
+	p := start(t, withSettings(t, standin.Up(addrs...), strings.Replace(flows, `files_all = "256MiB"`, `files_all = "600kB"`, 1)+"open = 20\n"))
+	p.server.bodies = body.NewStoreWith(func() (body.File, error) { return &disk{room: 500_000, err: syscall.ENOSPC}, nil })
+	var wg sync.WaitGroup
+	for i := range 200 {
+		id := fmt.Sprintf("%c-%d", 'a'+rng.IntN(26), i)
+		class := []string{"read", "book", "pay"}[rng.IntN(3)]
+		text := noise(70_000 + rng.IntN(700_000))
+		chunked, goes := rng.IntN(3) == 0, rng.IntN(8) == 0
+		mu.Lock()
+		asked[id] = sent{sha256.Sum256(text), class}
+		mu.Unlock()
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var in io.Reader = bytes.NewReader(text)
+			if goes { // the caller goes half way
+				in = io.MultiReader(bytes.NewReader(text[:len(text)/2]), broken{})
+			}
+			length := int64(len(text))
+			if chunked {
+				length = -1
+			}
+			req := p.upload(class, in, length)
+			req.Header.Set("X-Request-ID", id)
+			if class == "pay" {
+				req.Header.Del("Idempotency-Key")
+			}
+			resp, err := new(http.Transport).RoundTrip(req.WithContext(context.Background()))
+			if err != nil {
+				return // it was closed early: counted below by what ran
+			}
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			mu.Lock()
+			defer mu.Unlock()
+			if resp.StatusCode == 200 && err == nil && ran[id] == 0 {
+				t.Errorf("%s: served and never run", id)
+			}
+			if resp.StatusCode == 503 && class == "pay" && ran[id] > 0 {
+				t.Errorf("%s: refused, and run", id)
+			}
+		}()
+	}
+	wg.Wait()
+	p.ended()
+	mu.Lock()
+	defer mu.Unlock()
+	for id, s := range asked {
+		if s.class == "pay" && ran[id] > 1 {
+			t.Errorf("%s ran %d times", id, ran[id])
+		}
+	}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errors.New("the caller goes") }
+
+// echo sends a request's body back as it arrives.
+func echo(w http.ResponseWriter, r *http.Request) {
+	http.NewResponseController(w).EnableFullDuplex()
+	io.Copy(w, r.Body)
+}
--- a/internal/sidecar/live_test.go
+++ b/internal/sidecar/live_test.go
@@ -17,7 +17,7 @@
 )
 
 // settings reads an operators' file; the part that all need is added.
-func settings(t *testing.T, text string) *config.Settings {
+func settings(t testing.TB, text string) *config.Settings {
 	t.Helper()
 	s, bad := config.ParseSettings("test", []byte("schema = 1\n[application]\nname = \"test\"\n"+text))
 	if len(bad) > 0 {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -8,15 +8,18 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/config"
 	"barleydrum.example/barleydrum/internal/door"
 	"barleydrum.example/barleydrum/internal/engine"
 	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/upstream"
 )
 
 // maxID is the most bytes of a request's id.
@@ -29,13 +32,16 @@
 	engine *engine.Engine
 	door   *door.Door
 
-	mu  sync.Mutex
-	ids map[string]struct{} // of the requests that are open
+	bodies *body.Store
+
+	mu    sync.Mutex
+	ids   map[string]struct{} // of the requests that are open
+	flows Flows
 }
 
 // NewServer returns a Server that hands its requests to an engine.
 func NewServer(c *config.Config, e *engine.Engine) (*Server, error) {
-	s := &Server{cfg: c, engine: e, ids: make(map[string]struct{})}
+	s := &Server{cfg: c, engine: e, bodies: body.NewStore(os.TempDir()), ids: make(map[string]struct{})}
 	var err error
 	s.door, err = door.New(door.Config{
 		Handler: front{s}, Places: c.CallerConnections(), MaxHead: int(c.Settings.Callers.MaxHead),
@@ -88,14 +94,17 @@
 
 // Head judges a request by its head, see door.Handler.
 func (s front) Head(x *door.Exchange) *door.Refusal {
-	r := x.Head()
-	if r.Framing() == http1.Chunked {
+	r, set := x.Head(), s.engine.Settings()
+	n := r.ContentLength()
+	x.Flows = set.Streams.Takes() && !health(r) &&
+		(r.Framing() == http1.Chunked && set.Streams.Chunks() || n > int64(set.Callers.MaxBody) && n <= int64(set.Streams.MaxBody))
+	switch {
+	case x.Flows:
+	case r.Framing() == http1.Chunked:
 		return &door.Refusal{Status: http.StatusLengthRequired, Why: "Transfer-Encoding: not taken, send a Content-Length"}
-	}
-	if n := r.ContentLength(); n > int64(s.engine.Settings().Callers.MaxBody) {
+	case n > int64(set.Callers.MaxBody):
 		return &door.Refusal{Status: http.StatusRequestEntityTooLarge, Why: fmt.Sprintf("body: %d bytes are too many", n)}
-	}
-	if health(r) {
+	case health(r):
 		return nil
 	}
 	c := s.engine.NewCall()
@@ -129,10 +138,18 @@
 	margin := min(s.engine.Settings().Callers.AnswerMargin, c.Budget/10)
 	c.Until = x.Came().Add(c.Budget - margin)
 	c.Budget -= 2*margin + time.Since(x.Came())
+	if x.Flows {
+		s.flow(x, c)
+		return
+	}
 	here := x.Watch(c)
 	f := s.engine.Serve(c, !here)
 	x.Unwatch()
-	s.word(x, f)
+	if f.Flows {
+		s.pass(x, c, f)
+	} else {
+		s.word(x, f)
+	}
 	s.engine.Done(c)
 }
 
@@ -145,21 +162,11 @@
 func (s *Server) word(x *door.Exchange, f engine.Final) {
 	switch {
 	case f.Served != nil:
-		head := f.Served.Head()
-		x.Answer(http.StatusOK, "", func(b []byte) []byte {
-			for i := range head.Len() {
-				if f := head.Field(i); passedOn(head, f.Name) {
-					b = http1.AppendParsed(b, f)
-				}
-			}
-			return b
-		}, f.Served.Body())
+		x.Answer(http.StatusOK, "", fieldsOf(f.Served), f.Served.Body())
 	case f.Refused:
 		x.Answer(http.StatusServiceUnavailable, plain, func(b []byte) []byte {
 			if f.RetryAfter > 0 {
-				b = append(b, "Retry-After: "...)
-				b = strconv.AppendFloat(b, f.RetryAfter.Seconds(), 'f', 3, 64)
-				b = append(b, "\r\n"...)
+				b = http1.AppendRetryAfter(b, f.RetryAfter)
 			}
 			return b
 		}, refused)
@@ -168,6 +175,19 @@
 	}
 }
 
+// fieldsOf appends the fields of an endpoint's answer that go to the caller.
+func fieldsOf(x *upstream.Exchange) func(b []byte) []byte {
+	return func(b []byte) []byte {
+		head := x.Head()
+		for i := range head.Len() {
+			if f := head.Field(i); passedOn(head, f.Name) {
+				b = http1.AppendParsed(b, f)
+			}
+		}
+		return b
+	}
+}
+
 // passedOn tells whether a field of an endpoint's answer goes to the caller: Date is the
 // door's, and a load report is for this sidecar.
 func passedOn(head *http1.Answer, name []byte) bool {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"barleydrum.example/barleydrum/internal/http1"
 )
 
@@ -173,6 +175,13 @@
 	s.quiet.Store(err == syscall.EAGAIN)
 }
 
+// Unread tells whether the peer's machine has yet to take part of what was sent, tcp(7), SIOCOUTQ.
+func (s *Conn) Unread() bool {
+	left := 0
+	err := s.raw.Control(func(fd uintptr) { left, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && left > 0
+}
+
 // CloseWrite ends what is sent, so that an answer is read before the connection is closed.
 func (s *Conn) CloseWrite() error {
 	if c, ok := s.Conn.(*net.TCPConn); ok {
--- /dev/null
+++ b/internal/standin/bulk.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// NewBulk starts a node on loopback that takes bodies of any length and answers with so many
+// bytes once it has read one whole. It is net/http's server; Close ends it.
+func NewBulk(answer int64) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", fmt.Errorf("stand-in node: %w", err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		w.Header().Set("Content-Length", strconv.FormatInt(answer, 10))
+		io.CopyN(w, zeros{}, answer)
+	})}
+	go s.Serve(l)
+	return s, l.Addr().String(), nil
+}
+
+// zeros is read without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// BulkCaller sends a long body and reads a long answer on a connection of its own.
+type BulkCaller struct {
+	Addr, Class, Path, ID string
+	Body, Answer          int64
+	Rate                  int64 // bytes a second either way, 0 for as fast as it goes
+	Timeout               time.Duration
+}
+
+// pieceTime is how often a caller with a rate sends or reads.
+const pieceTime = 50 * time.Millisecond
+
+// paced copies n bytes at a rate.
+func paced(to io.Writer, from io.Reader, n, rate int64) error {
+	if rate == 0 {
+		_, err := io.CopyBuffer(struct{ io.Writer }{to}, io.LimitReader(from, n), make([]byte, 64<<10))
+		return err
+	}
+	piece := max(rate*int64(pieceTime)/int64(time.Second), 1)
+	for n > 0 {
+		m, err := io.CopyN(to, from, min(piece, n))
+		if err != nil {
+			return err
+		}
+		n -= m
+		time.Sleep(pieceTime)
+	}
+	return nil
+}
+
+// Do asks once. An error tells that the answer was none, or not whole.
+func (b BulkCaller) Do() error {
+	c, err := net.Dial("tcp", b.Addr)
+	if err != nil {
+		return fmt.Errorf("stand-in caller: %w", err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(b.Timeout))
+	sent := make(chan error, 1)
+	go func() {
+		_, err := fmt.Fprintf(c, "POST /api/%s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: %s\r\nIdempotency-Key: %s\r\nX-Priority-Class: %s\r\n"+
+			"X-Timeout: %dm\r\nContent-Length: %d\r\n\r\n", b.Path, b.ID, b.ID, b.Class, b.Timeout.Milliseconds(), b.Body)
+		sent <- errors.Join(err, paced(c, zeros{}, b.Body, b.Rate))
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return fmt.Errorf("stand-in caller: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || resp.ContentLength != b.Answer {
+		return fmt.Errorf("stand-in caller: %s, %d bytes", resp.Status, resp.ContentLength)
+	}
+	return errors.Join(paced(io.Discard, resp.Body, b.Answer, b.Rate), <-sent)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
+	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
 )
 
@@ -30,7 +31,9 @@
 )
 
 // Exchange is one request to an endpoint and its answer. One goroutine at a time carries it, by
-// Ready or Dial and then Run, as Run says; End, Leave and Interrupt may be called by any.
+// Ready or Dial and then Run, as Run says, and Next where its answer is passed on as it comes;
+// End, Leave, Interrupt and Extend may be called by any. A body that is sent as it arrives has a
+// goroutine beside it, which has ended when the exchange is over.
 type Exchange struct {
 	pool  *Pool
 	to    *Route
@@ -47,6 +50,7 @@
 	bound       *conn              // that Interrupt and End may touch
 	interrupted bool
 	left        bool // Leave was called
+	upload      upload
 
 	// The answer, as far as it has come.
 	head    http1.Answer
@@ -58,6 +62,7 @@
 	chunks  http1.Chunks
 	text    []byte // the head's, where the body is not kept behind it
 	body    []byte
+	flow    flow // of an answer that is passed on as it comes
 
 	result balance.Result
 	load   balance.Load
@@ -71,6 +76,7 @@
 	x.state, x.cause, x.interrupted, x.left, x.bound, x.conn, x.asked = waiting, nil, false, false, nil, nil, false
 	x.interim, x.headLen, x.framing, x.text, x.body = 0, 0, http1.None, nil, nil
 	x.loaded = false
+	x.upload, x.flow = upload{}, flow{}
 	x.limits = p.cfg.Limits()
 	x.head.Limits = http1.DefaultLimits
 	x.head.Limits.Head = x.limits.Head
@@ -118,6 +124,7 @@
 	Over        Progress = iota // the exchange has ended; its connection is back in the pool or closed
 	Interrupted                 // it goes on with the next Run
 	Unsent                      // the idle connection was none any more: Ready or Dial is to find another
+	Flowing                     // the answer has begun, and is had by Next
 )
 
 // Run carries the exchange on its connection.
@@ -128,16 +135,24 @@
 		x.fail(false, ErrLeft)
 		return Over
 	}
+	if x.upload.src != nil && !x.asked {
+		if !x.conn.Quiet() {
+			return x.stale()
+		}
+		x.asked = true
+		if err := x.startUpload(); err != nil {
+			x.unbind()
+			x.pool.put(x.conn) // nothing has been written on it
+			x.conn = nil
+			x.fail(false, unsendable{err})
+			return Over
+		}
+	}
 	if x.out != nil && !x.asked {
 		x.asked = true
 		n, stale, buf, err := x.conn.Ask(x.out.Bytes())
-		switch {
-		case stale && x.fresh: // what comes ahead of the request is no answer to it
-			x.over(false, errSpokeFirst)
-			return Over
-		case stale:
-			x.unsent()
-			return Unsent
+		if stale {
+			return x.stale()
 		}
 		x.buf = buf
 		x.out.Skip(n)
@@ -148,7 +163,7 @@
 			return x.broke(err)
 		}
 	}
-	for x.out != nil {
+	for x.out != nil && x.upload.src == nil {
 		x.armWrite()
 		n, err := x.conn.Write(x.out.Bytes())
 		if x.out.Skip(n); err != nil {
@@ -165,6 +180,9 @@
 		case err != nil:
 			x.over(true, spoilt{err})
 			return Over
+		case x.flow.begun:
+			x.begin()
+			return Flowing
 		}
 		if x.buf, err = x.conn.Fill(x.buf); err != nil {
 			return x.broke(err)
@@ -181,19 +199,29 @@
 	case err == io.EOF && x.headLen > 0 && x.framing == http1.UntilClose:
 		x.complete()
 	default:
-		x.over(x.out == nil, err)
+		x.over(x.out == nil || x.upload.src != nil, err)
 	}
 	return Over
 }
 
+// stale ends a run on a connection on which something had come, or its end, before a byte of the
+// request was written.
+func (x *Exchange) stale() Progress {
+	if x.fresh { // what comes ahead of the request is no answer to it
+		x.over(false, errSpokeFirst)
+		return Over
+	}
+	x.unsent()
+	return Unsent
+}
+
 // written notes that the last byte has been written.
 func (x *Exchange) written() {
 	x.pool.bufs.Put(x.out)
 	x.out = nil
 }
 
-// unsent gives up a connection on which something had come, or its end, before a byte of the
-// request was written.
+// unsent gives a connection up, for another to be found.
 func (x *Exchange) unsent() {
 	x.mu.Lock()
 	x.bound, x.asked = nil, false
@@ -281,6 +309,9 @@
 	if x.bound != nil {
 		x.bound.SetDeadline(past)
 	}
+	if x.upload.reader != nil {
+		x.upload.reader.Stop()
+	}
 }
 
 // unbind takes the connection from those that may touch it.
@@ -293,9 +324,18 @@
 
 // over ends an exchange that has no usable answer.
 func (x *Exchange) over(sent bool, err error) {
+	whole, cause := x.endUpload()
 	x.unbind()
 	x.conn.Close()
 	x.conn = nil
+	if !whole {
+		// What broke is told by the upload, unless that was only ended here, for the endpoint's end.
+		timeout := interface{ Timeout() bool }(nil)
+		if errors.Is(cause, body.ErrStopped) && !errors.As(err, &timeout) {
+			cause = err
+		}
+		sent, err = errors.As(err, new(spoilt)), cause
+	}
 	x.fail(sent, err)
 }
 
@@ -308,7 +348,7 @@
 	switch {
 	case cause == ErrCanceled:
 		x.result = balance.Canceled
-	case !sent && (cause == ErrLeft || errors.Is(err, errNoSlot)): // through no fault of the endpoint
+	case !sent && (cause == ErrLeft || errors.Is(err, errNoSlot) || errors.As(err, new(unsendable))): // through no fault of the endpoint
 		x.result = balance.NotSent
 	case !sent:
 		x.result = balance.ConnectFailed
@@ -329,12 +369,20 @@
 		x.out = nil
 	}
 	if x.buf != nil {
-		x.pool.bufs.Put(x.buf)
+		x.buffers().Put(x.buf)
 		x.buf = nil
 	}
 	x.body = nil
 }
 
+// buffers are those that the answer's buffer is of.
+func (x *Exchange) buffers() *http1.Buffers {
+	if x.flow.begun {
+		return &x.pool.large
+	}
+	return &x.pool.bufs
+}
+
 // spoilt is the fault of an answer that came and can't be used. The request has run.
 type spoilt struct{ error }
 
@@ -369,20 +417,26 @@
 		if x.framing, err = x.head.Framing(false); err != nil {
 			return false, err
 		}
-		if n := x.head.ContentLength(); x.framing == http1.Length && n > x.limits.Body {
-			return false, fmt.Errorf("%w: %d bytes", errBodyTooLong, n)
+		long := x.framing == http1.Length && x.head.ContentLength() > x.limits.Body
+		x.flow.may = x.head.Status() == http.StatusOK && (long || x.limits.Unknown && x.framing != http1.Length && x.framing != http1.None)
+		if length := x.head.ContentLength(); long && (!x.flow.may || length > x.limits.Long) {
+			return false, fmt.Errorf("%w: %d bytes", errBodyTooLong, length)
 		}
 		x.headLen = n
-		if x.framing == http1.Chunked || x.framing == http1.UntilClose {
-			// Its length is not known: the head is kept apart, and the body grows by itself.
+		if long || x.framing == http1.Chunked || x.framing == http1.UntilClose {
+			// It is not to be had in one piece: the head is kept apart, and the body grows by itself.
 			x.text = append([]byte(nil), x.buf.Bytes()[:n]...)
 			x.head.Moved(x.text)
 			x.buf.Skip(n)
-			x.chunks = http1.Chunks{Limits: http1.DefaultLimits}
+			x.chunks = http1.Chunks{Limits: http1.DefaultLimits, Keep: x.flow.may}
 		}
 	}
 	switch x.framing {
 	case http1.Length:
+		if x.flow.may {
+			x.flow.begun = int64(x.buf.Len()) >= min(x.limits.Look, x.head.ContentLength())
+			return false, nil
+		}
 		return int64(x.buf.Len()-x.headLen) >= x.head.ContentLength(), nil
 	case http1.Chunked:
 		for {
@@ -392,10 +446,13 @@
 			switch {
 			case err != nil:
 				return false, err
-			case int64(len(x.body)) > x.limits.Body:
-				return false, errBodyTooLong
 			case x.chunks.Done():
 				return true, nil
+			case x.flow.may && n == 0 && int64(len(x.body)) >= x.limits.Look && len(x.body) > 0:
+				x.flow.begun = true
+				return false, nil
+			case !x.flow.may && int64(len(x.body)) > x.limits.Body:
+				return false, errBodyTooLong
 			case n == 0:
 				return false, nil
 			}
@@ -403,7 +460,8 @@
 	case http1.UntilClose:
 		x.body = append(x.body, x.buf.Bytes()...)
 		x.buf.Reset()
-		if int64(len(x.body)) > x.limits.Body {
+		x.flow.begun = x.flow.may && int64(len(x.body)) >= x.limits.Look && len(x.body) > 0
+		if !x.flow.may && int64(len(x.body)) > x.limits.Body {
 			return false, errBodyTooLong
 		}
 		return false, nil
@@ -426,12 +484,7 @@
 		x.body = text[x.headLen:whole]
 		rest -= whole
 	}
-	if ended := x.unbind(); ended == nil && rest == 0 && !x.head.Closes() && x.framing != http1.UntilClose {
-		x.pool.put(x.conn)
-	} else {
-		x.conn.Close()
-	}
-	x.conn = nil
+	x.release(rest == 0)
 	x.load, x.loaded = parseLoad(x.head.Value("X-Server-Load"))
 	x.result = balance.Error
 	switch x.head.Status() {
@@ -447,6 +500,18 @@
 	}
 }
 
+// release gives the connection back that an answer has come whole on, if it is fit for another:
+// clean tells that nothing has come behind.
+func (x *Exchange) release(clean bool) {
+	whole, _ := x.endUpload()
+	if ended := x.unbind(); ended == nil && whole && clean && !x.head.Closes() && x.framing != http1.UntilClose {
+		x.pool.put(x.conn)
+	} else {
+		x.conn.Close()
+	}
+	x.conn = nil
+}
+
 // Result is how an exchange that is over has ended.
 func (x *Exchange) Result() balance.Result { return x.result }
 
@@ -467,18 +532,20 @@
 // Done gives back what an answer is held in.
 func (x *Exchange) Done() { x.drop() }
 
-// Carry carries an exchange to its end, on whatever connection there is. It waits for one to
-// come up if it must, and goes on through interrupts.
-func (x *Exchange) Carry() {
+// Carry carries an exchange to its end, on whatever connection there is, or until its answer
+// flows, which it tells. It waits for a connection to come up if it must, and goes on through
+// interrupts.
+func (x *Exchange) Carry() (flowing bool) {
 	for x.Ready() || x.Dial() {
 		p := x.Run()
 		for p == Interrupted {
 			p = x.Run()
 		}
-		if p == Over {
-			return
+		if p != Unsent {
+			return p == Flowing
 		}
 	}
+	return false
 }
 
 // Probe asks a route for its load, or where there are no reports whether it is well.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/pace"
 	"barleydrum.example/barleydrum/internal/sock"
 )
 
@@ -32,18 +33,27 @@
 	ConnectTime time.Duration // a new one may take to come up
 	KeepAlive   time.Duration // one may stand idle
 	Limits      func() Limits // of answers; they may change
+
+	// Pace is what is asked of an endpoint that takes a body, or sends one, as it comes.
+	Pace func() pace.Meter
 }
 
 // Limits are what of an answer is taken.
 type Limits struct {
 	Head int   // bytes of its head, interim answers and all
-	Body int64 // bytes of its body
+	Body int64 // bytes of its body that are held whole
+
+	// An answer 200 that is longer is passed on as it comes.
+	Long    int64 // bytes of it, 0 for none
+	Look    int64 // bytes that must have come before any goes on
+	Unknown bool  // also one of unknown length, from Look bytes on
 }
 
 // Pool holds the connections to endpoints, each of which carries one exchange at a time.
 type Pool struct {
 	cfg   Config
 	bufs  http1.Buffers
+	large http1.Buffers // for answers that flow
 	slots chan struct{} // one for each connection that is open
 
 	mu       sync.Mutex
@@ -64,7 +74,9 @@
 }
 
 // NewPool returns a Pool.
-func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg, slots: make(chan struct{}, cfg.Connections)} }
+func NewPool(cfg Config) *Pool {
+	return &Pool{cfg: cfg, large: http1.Buffers{Size: flowBuffer}, slots: make(chan struct{}, cfg.Connections)}
+}
 
 // Close closes a connection and gives its slot back.
 func (c *conn) Close() error {
