Count no call as work at its endpoint while it waits for its own caller

Change: an attempt whose request is still arriving, or whose answer flows, is out and takes no core: not in the endpoint's share, not in the window. It still weighs in the choice between endpoints.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -108,6 +108,7 @@
 	heardAt  time.Duration // when it came
 	hasLoad  bool
 	out      []time.Duration // when the own calls that are out were sent
+	callers  int             // of those, how many wait for their caller, not for the endpoint
 	lastSent time.Duration
 	lastUsed time.Duration // when a call on a connection to it was last answered
 	slow     float64       // logarithm of its calls' time over that usual for its weight
@@ -124,6 +125,7 @@
 	out    bool
 	killed bool // withdrawn, or never to be
 	idle   int  // how long its connection had been idle, in steps
+	waits  bool // for its caller, to send the rest of its body or to take its answer
 }
 
 // request is a request until its last attempt has ended.
@@ -189,7 +191,7 @@
 	sizeSum, sizeAll float64 // sizes of near and far, and of ready
 	muMost           float64 // the highest speed of near and far
 
-	outs   int     // own calls out
+	outs   int     // own calls out, but for those that wait for their callers
 	window float64 // own calls that may be out
 
 	stale   [8]float64 // share of calls lost silently, by how long their connection was idle
@@ -422,6 +424,7 @@
 	b.begin(now, out)
 	if r := b.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && r.attempts[n].out && !r.done {
 		r.attempts[n].killed = true
+		b.wait(&r.attempts[n], true)
 		b.close(r)
 	}
 	return b.acts
@@ -437,6 +440,9 @@
 	}
 	if s == BodyWhole {
 		r.Arriving = false
+		for i := range r.attempts {
+			b.wait(&r.attempts[i], false)
+		}
 		if r.out == 1 && r.hedgeAt == 0 {
 			b.armHedge(r)
 		}
@@ -446,6 +452,19 @@
 	return b.acts
 }
 
+// wait notes whether an attempt that is out waits for its caller. One that does takes no core: counted as if
+// it did, slow callers fill every endpoint's share and nobody else is served.
+func (b *Balancer) wait(a *attempt, waits bool) {
+	if a.waits == waits || !a.out {
+		return
+	}
+	n := 1
+	if a.waits = waits; !waits {
+		n = -1
+	}
+	a.to.callers, b.outs = a.to.callers+n, b.outs-n
+}
+
 // Abandoned says that a request has ended without the Balancer.
 func (b *Balancer) Abandoned(now time.Duration, id RequestID, out []Action) []Action {
 	if b.begin(now, out); b.requests[id] != nil {
@@ -505,6 +524,7 @@
 		return b.acts
 	}
 	a := &r.attempts[o.Attempt]
+	b.wait(a, false)
 	a.out, r.out, b.outs = false, r.out-1, b.outs-1
 	b.learn(r, a, o)
 	b.release(a.to)
@@ -800,7 +820,7 @@
 		if r.over {
 			free *= overPart
 		}
-		if out >= free || !b.warm(e, total) {
+		if out-float64(e.callers) >= free || !b.warm(e, total) {
 			continue
 		}
 		if speed := mu / (out + 1); speed > most {
@@ -921,6 +941,7 @@
 	r.out++
 	b.outs++
 	e.out = append(e.out, b.now)
+	b.wait(&r.attempts[len(r.attempts)-1], r.Arriving)
 	e.lastSent = b.now
 	b.rate = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/rateSpan) + 1/rateSpan
 	b.rateAt = b.now
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1357,3 +1357,50 @@
 		t.Errorf("not sent as the suspicion ended: %+v", f.acts)
 	}
 }
+
+// Calls whose bodies are still arriving, and those whose answers flow, take no core of their
+// endpoints: slow callers, however many, keep nobody else from being served. Once whole they count.
+func TestSlowCallersTakeNoCore(t *testing.T) {
+	cfg := config()
+	cfg.Balancers, cfg.Reporting, cfg.Limits.Probes = 1, ReportsNone, false
+	f := newFleet(t, cfg, servers(2)...)
+	sends := func(arriving bool) (ids []RequestID, to []EndpointID) {
+		for range 30 {
+			f.next++
+			f.acts = f.b.Request(f.now, Request{ID: f.next, Class: 1, Budget: time.Second, Arriving: arriving}, nil)
+			for _, a := range f.find(Send) {
+				ids, to = append(ids, a.Request), append(to, a.Endpoint)
+			}
+		}
+		return ids, to
+	}
+	slow, at := sends(true)
+	if len(slow) != 30 {
+		t.Fatalf("%d of 30 uploads were sent", len(slow))
+	}
+	short, _ := sends(false)
+	if len(short) == 0 || len(short) == 30 {
+		t.Fatalf("%d short calls were sent beside them: as many as there are free cores", len(short))
+	}
+	for _, id := range slow[:15] {
+		f.acts = f.b.Body(f.now, id, BodyWhole, nil)
+	}
+	if more, _ := sends(false); len(more) > 0 {
+		t.Errorf("%d were sent to endpoints that have work now", len(more))
+	}
+	f.acts = f.b.Head(f.now, slow[0], 0, nil)
+	for i, id := range slow {
+		f.ended(id, 0, at[i], OK, ms)
+	}
+	for _, id := range short {
+		f.ended(id, 0, 1, OK, ms)
+	}
+	if f.b.outs < 0 {
+		t.Errorf("%d calls are out", f.b.outs)
+	}
+	for _, e := range f.b.endpoints {
+		if e.callers != 0 {
+			t.Errorf("endpoint %d: %d wait for callers", e.ID, e.callers)
+		}
+	}
+}
