Let held requests have their turn, oldest first, unless there is too little for all

Change: oldest first while the oldest has waited for under 3% of its patience; newest first beyond, as in overload, where oldest first would begin all of them when they are nearly late.

The test fails without it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -58,6 +58,7 @@
 const ( // admission
 	quotaSaved = 1.0   // how many seconds of its quota a tenant may save up
 	overPart   = 0.5   // the part of the free cores that requests over their tenant's quota may use
+	fairShare  = 0.03  // how much of its patience the oldest held request may have waited, and still go first
 	classKeep  = 0.999 // what each request leaves of the counts by class: they are of a thousand requests
 )
 
@@ -144,6 +145,7 @@
 	done     bool          // it has its final answer
 	over     bool          // it is over its tenant's quota
 	held     bool          // it waits for an endpoint, in Balancer.held
+	heldAt   time.Duration // since then
 	lost     bool          // its body is gone: no further attempt can be sent
 	hedgeAt  time.Duration
 }
@@ -166,6 +168,7 @@
 	near, far []*endpoint      // those it sends to, in its own zone and in others
 	requests  map[RequestID]*request
 	held      []*request // that wait for an endpoint, newest last
+	turn      []*request // those of one class in the order of their turn, for serve alone
 	classes   []latency
 	order     []int     // classes, by their value
 	quotas    []float64 // what each tenant has saved up
@@ -586,7 +589,7 @@
 // hold queues a request that wants an endpoint; serve finds one.
 func (b *Balancer) hold(r *request) {
 	if !r.held { // a hedge may wait already when the first copy fails; held twice, it outlived its answer
-		r.held = true
+		r.held, r.heldAt = true, b.now
 		b.held = append(b.held, r)
 	}
 	if r.out == 0 {
@@ -639,7 +642,9 @@
 	return b.order
 }
 
-// serve sends held requests while there is an idle endpoint: by their class's value, then newest first.
+// serve sends held requests while there is an idle endpoint: by their class's value, then oldest first, as
+// each has its turn then. Where the oldest has waited for long there is too little for all, and it is newest
+// first: else all would be begun when they are nearly late.
 func (b *Balancer) serve() {
 	if len(b.held) == 0 {
 		return
@@ -647,10 +652,9 @@
 	want := 0
 search:
 	for _, c := range b.byValue() {
-		for i := len(b.held) - 1; i >= 0; i-- {
-			if r := b.held[i]; r.Request.Class != c {
-				continue
-			} else if r.out > 0 && !b.mayAdd(r) { // a copy that waits, and may no longer begin
+		queue := b.queue(c)
+		for _, r := range queue {
+			if r.out > 0 && !b.mayAdd(r) { // a copy that waits, and may no longer begin
 				b.unhold(r)
 				continue
 			} else if e := b.pick(r); e != nil {
@@ -671,6 +675,22 @@
 	}
 }
 
+// queue returns the held requests of a class in the order in which they are served.
+func (b *Balancer) queue(class int) []*request {
+	b.turn = b.turn[:0]
+	for _, r := range b.held {
+		if r.Request.Class == class {
+			b.turn = append(b.turn, r)
+		}
+	}
+	if len(b.turn) > 1 {
+		if r := b.turn[0]; b.now-r.heldAt > time.Duration(fairShare*float64(r.startBy-r.heldAt)) {
+			slices.Reverse(b.turn)
+		}
+	}
+	return b.turn
+}
+
 // awaitSuspects looks again as the next suspicion of an endpoint ends: where no probes come back, nothing
 // else might happen until a held request is late.
 func (b *Balancer) awaitSuspects() {
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1404,3 +1404,35 @@
 		}
 	}
 }
+
+// Held requests go out oldest first, so that none waits for long where there is enough for all;
+// newest first once the oldest has waited for a part of its patience, as in overload.
+func TestHeldTakeTurns(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		oldest bool
+	}{{2 * ms, true}, {200 * ms, false}} {
+		cfg := config()
+		cfg.Balancers, cfg.Reporting, cfg.Limits.Probes = 1, ReportsNone, false
+		f := newFleet(t, cfg, servers(1)...)
+		var out, held []RequestID
+		var at EndpointID
+		for len(held) < 3 {
+			id := f.request(0, 2*time.Second)
+			if s := f.find(Send); len(s) > 0 {
+				out, at = append(out, id), s[0].Endpoint
+			} else {
+				held = append(held, id)
+			}
+		}
+		f.now += c.waited
+		f.ended(out[0], 0, at, OK, ms)
+		want := held[2]
+		if c.oldest {
+			want = held[0]
+		}
+		if s := f.find(Send); len(s) != 1 || s[0].Request != want {
+			t.Errorf("after %v: %+v, want request %d", c.waited, s, want)
+		}
+	}
+}
