End a keyed request's wait for a further attempt when its key may be forgotten

Cause: an upload held back at its last byte, its repeat window over, waited 13 s of 20 before it was refused: hold kept it until it was nearly late, though no endpoint could be allowed it any more (mayFollow).

Change: what may have run waits until its window ends at the longest. Tests: disk full while a booking is sent again, an answer at length to a caller that sends on and reads nothing, no copy beside an upload and one after it, in the running program.

The test fails without it.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -599,6 +599,9 @@
 		if len(r.attempts) > 0 && r.class.RetryWithin > 0 { // it ends as soon as no attempt may begin
 			r.startBy = min(r.startBy, r.arrived+r.class.RetryWithin)
 		}
+		if r.ran != nil && r.class.Semantics == Keyed { // and once its key may be forgotten
+			r.startBy = min(r.startBy, r.ranAt+r.class.RepeatWindow)
+		}
 		b.wake(r, max(r.startBy, b.now+1))
 	}
 }
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1436,3 +1436,25 @@
 		}
 	}
 }
+
+// A keyed request that may have run waits for a further attempt no longer than its key is
+// remembered: then it can't have one, and is answered at once.
+func TestKeyedEndsWithItsWindow(t *testing.T) {
+	cfg := config()
+	cfg.Balancers, cfg.Reporting, cfg.Limits.Probes = 1, ReportsNone, false
+	cfg.Classes[1].RepeatWindow = 100 * ms
+	f := newFleet(t, cfg, servers(2)...)
+	r := f.request(1, 2*time.Second)
+	to := f.sent()
+	f.now += 150 * ms
+	f.ended(r, 0, to, Error, 150*ms)
+	for _, a := range f.find(SetTimer) {
+		if a.Timer.Kind == timerRequest && a.Delay <= ms {
+			f.now += a.Delay
+			f.fire(r)
+		}
+	}
+	if got := f.find(Shed); len(got) != 1 || got[0].Request != r {
+		t.Errorf("%+v: it waits for nothing", f.acts)
+	}
+}
--- a/internal/sidecar/flow_test.go
+++ b/internal/sidecar/flow_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/discovery"
 	"barleydrum.example/barleydrum/internal/standin"
@@ -885,3 +886,116 @@
 	http.NewResponseController(w).EnableFullDuplex()
 	io.Copy(w, r.Body)
 }
+
+// An endpoint answers at length before it has read the request, to a caller that sends on and reads
+// nothing: it is ended in bounded time, and the endpoint is let go.
+func TestAnswersEarlyToNobody(t *testing.T) {
+	let := make(chan struct{})
+	addr := standin.TCP(t, func(n net.Conn) {
+		defer n.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+			return
+		}
+		io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n")
+		io.CopyN(n, zeros{}, 60_000_000)
+		close(let)
+	})
+	p := start(t, withSettings(t, standin.Up(addr), flowsSlow))
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() {
+		io.WriteString(c, "POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: n\r\nX-Priority-Class: pay\r\nContent-Length: 60000000\r\n\r\n")
+		io.CopyN(c, zeros{}, 60_000_000)
+	}()
+	wait(t, let, "the endpoint is let go")
+	p.ended()
+}
+
+// The disk fills while a booking is being sent again and its body still arrives: the attempt that
+// is out gets the whole of it, and the booking is served.
+func TestDiskFillsDuringRetry(t *testing.T) {
+	b := &breaker{after: 50_000}
+	p := start(t, withSettings(t, standin.Up(standin.HTTP(t, b.serve), standin.HTTP(t, b.serve)), flows))
+	p.server.bodies = body.NewStoreWith(func() (body.File, error) { return &disk{room: 400_000, err: syscall.ENOSPC}, nil })
+	want := noise(2 << 20)
+	in, out := io.Pipe()
+	done := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := p.send(p.upload("book", in, int64(len(want))))
+		done <- resp
+	}()
+	out.Write(want[:100_000])
+	seen := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.seen
+	}
+	for seen() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	out.Write(want[100_000:])
+	out.Close()
+	resp := <-done
+	if _, held := p.server.Flows(); resp.StatusCode != 200 || seen() != 2 || b.whole[0] != sha256.Sum256(want) || held.Lost != 1 || held.Failed != 1 {
+		t.Errorf("%s, sent %d times, %+v", resp.Status, seen(), held)
+	}
+	p.ended()
+}
+
+// No second copy goes out while a body is still arriving, however long that takes; once it is whole
+// and its endpoint takes long, one does, and has the whole of it.
+func TestNoHedgeWhileArriving(t *testing.T) {
+	var seen atomic.Int32
+	stop := make(chan struct{})
+	want := noise(300_000)
+	node := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			io.WriteString(w, "TEXT busy_reqs=0")
+			return
+		}
+		n := seen.Add(1)
+		text, err := io.ReadAll(r.Body)
+		if len(text) < 100 { // the calls before
+			seen.Add(-1)
+			return
+		}
+		if err == nil && !bytes.Equal(text, want) {
+			t.Error("a node got something else")
+		}
+		if n == 1 {
+			<-stop
+		}
+	}
+	c := withSettings(t, standin.Up(standin.HTTP(t, node), standin.HTTP(t, node), standin.HTTP(t, node)), flows)
+	c.Module.Reporting, c.Module.Limits.Probes = balance.ReportsProbe, true
+	c.Module.Classes[c.Classes["book"]].Goal = 10 * time.Second // a quarter of it is what a call is taken to need at first
+	p := start(t, c)
+	defer close(stop)
+	for i := range 60 { // calls are quick, so that a hedge comes soon
+		req := p.request("book", "x")
+		req.Header.Set("X-Request-ID", fmt.Sprint("before ", i))
+		p.send(req)
+	}
+	in, out := io.Pipe()
+	done := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := p.send(p.upload("book", in, int64(len(want))))
+		done <- resp
+	}()
+	out.Write(want[:200_000])
+	for seen.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond) // many times what a hedge waits for
+	if n := seen.Load(); n != 1 {
+		t.Errorf("%d copies while the body arrives", n)
+	}
+	out.Write(want[200_000:])
+	out.Close()
+	if resp := <-done; resp.StatusCode != 200 || seen.Load() != 2 {
+		t.Errorf("%s, %d copies", resp.Status, seen.Load())
+	}
+}
