--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -195,6 +195,7 @@
 		{"one body over all in memory", "streams-kept", "streams.memory", "alone", "[limits]", fmt.Sprintf("[streams]\nmemory = \"%dMiB\"\nmemory_all = \"%dKiB\"\n[limits]", n(1, 9), n(0, 900)), ""},
 		{"one body over all in files", "streams-kept", "streams.file", "alone", "[limits]", fmt.Sprintf("[streams]\nfile = \"%dMiB\"\n[limits]", n(1, 9)), ""},
 		{"more flowing bodies than callers", "streams-open", "streams.open", "alone", "[limits]", fmt.Sprintf("[streams]\nmax_body = \"1MiB\"\nopen = %d\n[limits]", n(400, 900)), ""},
+		{"more files than descriptors", "descriptors", "endpoints.connections", "alone", "[limits]", fmt.Sprintf("[endpoints]\nconnections = 400\n[streams]\nmax_body = \"1MiB\"\nfile = \"1MiB\"\nfiles_all = \"9MiB\"\nopen = %d\n[limits]", n(260, 341)), ""},
 		{"flowing bodies over the memory", "streams-memory", "streams.memory_all", "alone", "[limits]", fmt.Sprintf("[streams]\nmax_body = \"1MiB\"\nmemory_all = \"%dMiB\"\n[limits]", n(193, 900)), ""},
 		{"files on a RAM disk over the memory", "streams-memory", "streams.files_all", "alone", "[limits]", fmt.Sprintf("[streams]\nmax_body = \"1MiB\"\nram_disk = true\nfiles_all = \"%dMiB\"\n[limits]", n(193, 900)), ""},
 		{"own address twice", "listen-claimed", "callers.also_listen", "alone", `"127.0.0.1:9001"`, `"127.0.0.1:9000"`, ""},
--- a/internal/check/rules.go
+++ b/internal/check/rules.go
@@ -93,7 +93,7 @@
 
 	{"looser-limit", config.Refused, limits, "The file asks for more than the platform allows.",
 		"the platform ends what goes over its limits", "leave the key out, or lower it"},
-	{"descriptors", config.Refused, limits, "Connections and the reserve come to more than the descriptors.",
+	{"descriptors", config.Refused, limits, "Connections, files of bodies and the reserve come to more than the descriptors.",
 		"accepting and connecting would fail at the limit", "lower callers.connections or endpoints.connections, or raise limits.sockets"},
 	{"memory", config.Refused, limits, "What callers' requests and their answers may hold comes to more than the memory.",
 		"the sidecar would be killed, and all it holds lost", "lower connections, max_body or max_answer"},
--- a/internal/check/sidecar.go
+++ b/internal/check/sidecar.go
@@ -501,14 +501,14 @@
 func (c *checker) room() {
 	s, m := c.settings, c.merged
 	callers, endpoints := m.CallerConnections(), m.EndpointConnections()
-	if sum := callers + endpoints + config.ReservedSockets; sum > m.Limits.Sockets {
+	if sum := callers + endpoints + m.Files() + config.ReservedSockets; sum > m.Limits.Sockets {
 		key := "callers.connections"
-		for _, k := range []string{"endpoints.connections", "limits.sockets"} {
+		for _, k := range []string{"endpoints.connections", "limits.sockets", "streams.open", "streams.file"} {
 			if !c.given(key) {
 				key = k
 			}
 		}
-		c.refuse("descriptors", key, fmt.Sprintf("%d for callers, %d for endpoints and %d in reserve", callers, endpoints, config.ReservedSockets),
+		c.refuse("descriptors", key, fmt.Sprintf("%d for callers, %d for endpoints, %d for files and %d in reserve", callers, endpoints, m.Files(), config.ReservedSockets),
 			fmt.Sprintf("%d together", m.Limits.Sockets))
 		return // what so many would hold says nothing
 	}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -34,9 +34,17 @@
 	return cmp.Or(c.Settings.Callers.Connections, c.Limits.Sockets/3)
 }
 
+// Files is how many bodies may be kept in files: each takes a descriptor.
+func (c *Config) Files() int {
+	if s := &c.Settings.Streams; s.Takes() && s.File > 0 {
+		return s.Open
+	}
+	return 0
+}
+
 // EndpointConnections is how many connections to endpoints may be open: the rest.
 func (c *Config) EndpointConnections() int {
-	rest := c.Limits.Sockets - c.CallerConnections() - ReservedSockets
+	rest := c.Limits.Sockets - c.CallerConnections() - ReservedSockets - c.Files()
 	return cmp.Or(c.Settings.Endpoints.Connections, max(rest, 1))
 }
 
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -327,6 +327,41 @@
 	})
 }
 
+// Trailers that are wanted are kept as they came, and written out again are read the same by
+// net/http; those that nobody wants are dropped.
+func TestTrailersPassOn(t *testing.T) {
+	const tail = "Checksum: abc\r\nX-Last:  two \r\n"
+	text := "3;a=\"b\"\r\nabc\r\n0\r\n" + tail + "\r\nrest"
+	for _, keep := range []bool{false, true} {
+		c := Chunks{Limits: limits, Keep: keep}
+		var data []byte
+		left := []byte(text)
+		for !c.Done() {
+			p, n, err := c.Next(left)
+			if err != nil || n == 0 {
+				t.Fatal(n, err)
+			}
+			data, left = append(data, p...), left[n:]
+		}
+		if want := map[bool]string{true: tail}[keep]; string(c.Trailers) != want || string(left) != "rest" {
+			t.Errorf("kept %q before %q, want %q", c.Trailers, left, want)
+		}
+		if !keep {
+			continue
+		}
+		again := AppendLastChunk(AppendChunk(nil, data), c.Trailers)
+		resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(
+			strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), bytes.NewReader(again))), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != "abc" || resp.Trailer.Get("Checksum") != "abc" || resp.Trailer.Get("X-Last") != "two" {
+			t.Errorf("net/http reads %q, %v, %v", body, resp.Trailer, err)
+		}
+	}
+}
+
 // hopByHop concern one connection; the rest is passed on.
 func TestEndToEnd(t *testing.T) {
 	r := NewRequest(limits)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// Both sides pass on long bodies whole, slow callers' too; what can't be is refused by its name.
+func TestStreams(t *testing.T) {
+	var out strings.Builder
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	how := Streamed{Streams: 6, Nodes: 2, Body: 300_000, Answer: 400_000, Slow: 3, Rate: 1 << 20}
+	if err := Streams(ctx, Config{Dir: t.TempDir(), Program: program(t), Out: &out}, how); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, name := range []string{"barleydrum", "httputil.ReverseProxy"} {
+		_, row, ok := strings.Cut(out.String(), "\n"+name)
+		if row, _, _ = strings.Cut(row, "\n"); !ok || !strings.HasSuffix(row, " 0") {
+			t.Errorf("%s: %s", name, out.String())
+		}
+	}
+	for name, spoil := range map[string]func(*Streamed){
+		"-callers": func(s *Streamed) { s.Streams = 0 }, "-nodes": func(s *Streamed) { s.Nodes = 501 }, "-body": func(s *Streamed) { s.Body = 200 },
+		"-answer": func(s *Streamed) { s.Answer = 0 }, "-slow": func(s *Streamed) { s.Slow = -1 }, "-rate-slow": func(s *Streamed) { s.Rate = 1 },
+	} {
+		bad := how
+		spoil(&bad)
+		if err := bad.Check(); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // A comparison that can't be is refused by the name of what is wrong.
 func TestComparedIsChecked(t *testing.T) {
 	good := Compared{Callers: 1, Nodes: 1, Rounds: 1}
