Stop a body's reader without waiting for a disk that is slow

A disk that hangs would have held up every request of the sidecar.

Change: Reader.Stop sets a flag and wakes whoever waits without waiting itself. The lab's two comparisons share their beginning, the store's two bounds one function.

Measured: TestSlowDisk, a write that hangs while a reader is stopped; before, Stop waited for the lock that the write held.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 // Why a body can't be read or written.
@@ -121,7 +122,7 @@
 		switch {
 		case held < int64(b.l.Window):
 			return b.grow(&b.memory)
-		case held+Block <= b.l.Memory && b.store.takeMemory(Block, b.l.MemoryAll):
+		case held+Block <= b.l.Memory && b.store.take(&b.store.held.Memory, Block, b.l.MemoryAll):
 			b.taken += Block
 			return b.grow(&b.memory)
 		case b.l.File > 0:
@@ -184,7 +185,7 @@
 func (b *Body) spill(p []byte) (lost bool) {
 	from := b.end
 	b.end += int64(len(p))
-	if b.store.takeFile(int64(len(p)), b.l.FilesAll) {
+	if b.store.take(&b.store.held.Filed, int64(len(p)), b.l.FilesAll) {
 		b.filed += int64(len(p))
 		if n, err := b.file.WriteAt(p, from-b.memory.end()); err == nil && n == len(p) {
 			return false
@@ -322,7 +323,7 @@
 type Reader struct {
 	b       *Body
 	off     int64
-	stopped bool
+	stopped atomic.Bool
 	buf     *[Block]byte // for what is in the file
 }
 
@@ -354,7 +355,7 @@
 	defer b.mu.Unlock()
 	for {
 		switch {
-		case r.stopped:
+		case r.stopped.Load():
 			return nil, ErrStopped
 		case b.closed:
 			return nil, ErrClosed
@@ -414,12 +415,20 @@
 	return r.b.trailers
 }
 
-// Stop has Next return ErrStopped.
+// Stop has Next return ErrStopped. It does not wait, also where the body is being written to a disk
+// that is slow: whoever calls it may hold up everybody else.
 func (r *Reader) Stop() {
-	r.b.mu.Lock()
-	defer r.b.mu.Unlock()
-	r.stopped = true
-	r.b.changed.Broadcast()
+	r.stopped.Store(true)
+	if b := r.b; b.mu.TryLock() {
+		b.changed.Broadcast()
+		b.mu.Unlock()
+	} else {
+		go func() { // a reader that has looked and does not wait yet would miss it now
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.changed.Broadcast()
+		}()
+	}
 }
 
 // Close ends reading.
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -243,6 +243,41 @@
 	}
 }
 
+// stuck is a file on a disk that takes its time.
+type stuck struct {
+	File
+	began, let chan struct{}
+	once       *sync.Once
+}
+
+func (s stuck) WriteAt(p []byte, off int64) (int, error) {
+	s.once.Do(func() { close(s.began) })
+	<-s.let
+	return len(p), nil
+}
+
+// A disk that hangs holds up nobody but its own body's readers: one is stopped all the same by
+// whoever must not wait, and is told once the disk is back.
+func TestSlowDisk(t *testing.T) {
+	d := stuck{&disk{unclosed: new(int)}, make(chan struct{}), make(chan struct{}), new(sync.Once)}
+	s := NewStoreWith(func() (File, error) { return d, nil })
+	b := s.New(Limits{Window: Block, File: Block, FilesAll: Block}, nil)
+	r, _ := b.Reader()
+	go write(b, text(3*Block))
+	go func() {
+		for p, err := r.Next(); err == nil; p, err = r.Next() {
+			r.Advance(len(p))
+		}
+	}()
+	<-d.began
+	r.Stop() // would never return if it waited: the test times out
+	close(d.let)
+	if _, err := r.Next(); err != ErrStopped {
+		t.Errorf("%v", err)
+	}
+	b.Close()
+}
+
 // What all together keep stays within its bound: who comes too late is not kept, and passes on
 // all the same.
 func TestBoundOfAll(t *testing.T) {
--- a/internal/body/store.go
+++ b/internal/body/store.go
@@ -105,25 +105,14 @@
 	f(&s.held)
 }
 
-// takeMemory takes bytes for memory, unless they are over the bound for all.
-func (s *Store) takeMemory(n, most int64) bool {
+// take adds bytes to one of the figures in held, unless it would be over the most.
+func (s *Store) take(of *int64, n, most int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.held.Memory+n > most {
+	if *of+n > most {
 		return false
 	}
-	s.held.Memory += n
-	return true
-}
-
-// takeFile is takeMemory for files.
-func (s *Store) takeFile(n, most int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.held.Filed+n > most {
-		return false
-	}
-	s.held.Filed += n
+	*of += n
 	return true
 }
 
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -89,17 +89,7 @@
 	}
 	l := &comparison{lab: lab{cfg: cfg, calls: standin.NewCaller(1)}, how: how}
 	defer l.close()
-	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
-		return err
-	}
-	var err error
-	if l.program = cfg.Program; l.program == "" {
-		l.say("building the program ...")
-		if l.program, err = build(ctx, cfg.Dir); err != nil {
-			return err
-		}
-	}
-	if l.discovery[0], err = standin.NewDiscovery("127.0.0.1:0", false); err != nil {
+	if err := l.prepare(ctx); err != nil {
 		return err
 	}
 	for i := range how.Nodes {
@@ -142,6 +132,21 @@
 	return l.table(sides)
 }
 
+// prepare makes the folder, builds the program unless it is given, and starts discovery.
+func (l *comparison) prepare(ctx context.Context) (err error) {
+	if err := os.MkdirAll(l.cfg.Dir, 0o755); err != nil {
+		return err
+	}
+	if l.program = l.cfg.Program; l.program == "" {
+		l.say("building the program ...")
+		if l.program, err = build(ctx, l.cfg.Dir); err != nil {
+			return err
+		}
+	}
+	l.discovery[0], err = standin.NewDiscovery("127.0.0.1:0", false)
+	return err
+}
+
 // sidecar starts the program.
 func (l *comparison) sidecar(reports string, round int) (*process, error) {
 	name := fmt.Sprintf("%s-%d", reports, round)
--- a/internal/lab/streams.go
+++ b/internal/lab/streams.go
@@ -52,17 +52,7 @@
 	}
 	l := &comparison{lab: lab{cfg: cfg, calls: standin.NewCaller(1)}}
 	defer l.close()
-	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
-		return err
-	}
-	var err error
-	if l.program = cfg.Program; l.program == "" {
-		l.say("building the program ...")
-		if l.program, err = build(ctx, cfg.Dir); err != nil {
-			return err
-		}
-	}
-	if l.discovery[0], err = standin.NewDiscovery("127.0.0.1:0", false); err != nil {
+	if err := l.prepare(ctx); err != nil {
 		return err
 	}
 	for i := range how.Nodes {
