Tell the module when a kept body can't be read again; one end for both kinds of request

Cause: read again as a whole. A file that fails to be read left the module believing that a further attempt was possible: each ended at once as not sent, up to the most attempts. And door.flows wrote the end of door.answer again.

Change: the first reader that fails so tells that the body is lost, once. door.reply ends short requests and those that flow alike.

Measured: TestUnreadable fails without it (told 0 times); all tests pass as before, 38 s.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -36,6 +36,8 @@
 	end      int64 // bytes that have been written
 	whole    bool
 	err      error // why it broke off
+	unread   error // why its file can't be read
+	told     bool  // lost was called for that
 	closed   bool
 	wanted   bool // it has had a reader
 	readers  []*Reader
@@ -352,7 +354,18 @@
 func (r *Reader) Next() ([]byte, error) {
 	b := r.b
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	p, err := r.next()
+	lost := err != nil && err == b.unread && !b.told
+	b.told = b.told || lost
+	b.mu.Unlock()
+	if lost && b.lost != nil {
+		b.lost()
+	}
+	return p, err
+}
+
+func (r *Reader) next() ([]byte, error) {
+	b := r.b
 	for {
 		switch {
 		case r.stopped.Load():
@@ -389,7 +402,7 @@
 	p := r.buf[:min(Block, b.recent.first-r.off)]
 	if _, err := b.file.ReadAt(p, r.off-b.memory.end()); err != nil {
 		b.store.note(func(h *Stats) { h.Failed++ })
-		b.err = err // also where it is whole: what can't be read again is not kept
+		b.err, b.unread = err, err // also where it is whole: what can't be read again is not kept
 		b.changed.Broadcast()
 		return nil, err
 	}
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -182,7 +182,8 @@
 func TestUnreadable(t *testing.T) {
 	d := &disk{room: 1 << 20, unclosed: new(int)}
 	s := NewStoreWith(func() (File, error) { return d, nil })
-	b := s.New(Limits{Window: Block, File: 1 << 20, FilesAll: 1 << 20}, nil)
+	lost := 0
+	b := s.New(Limits{Window: Block, File: 1 << 20, FilesAll: 1 << 20}, func() { lost++ })
 	r, _ := b.Reader()
 	go write(b, text(100_000))
 	if _, err := read(r); err != nil {
@@ -194,8 +195,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := read(again); !errors.Is(err, syscall.EIO) || b.State() != Gone {
-		t.Errorf("%v, state %d", err, b.State())
+	for range 2 {
+		if _, err := read(again); !errors.Is(err, syscall.EIO) || b.State() != Gone || lost != 1 {
+			t.Errorf("%v, state %d, told %d times", err, b.State(), lost)
+		}
 	}
 	b.Close()
 }
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -188,8 +188,15 @@
 		x.end()
 		return errDone
 	}
+	return d.reply(c, whole)
+}
+
+// reply sends the answer, unless it has flowed, and makes the connection ready for the next request,
+// which begins behind so many bytes of what has been read.
+func (d *Door) reply(c *conn, whole int) error {
+	x := &c.x
 	if x.flow.begun {
-		return d.flowed(c)
+		return d.flowed(c, whole)
 	}
 	if x.out == nil {
 		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
@@ -197,7 +204,7 @@
 	// What has come by now was sent before its caller saw this answer, at what time is not
 	// known: the earliest is taken, so that its answer is not late.
 	c.since = x.at
-	ahead := c.since.Sub(c.read) > aheadTime && !c.Quiet()
+	ahead := !x.Flows && c.since.Sub(c.read) > aheadTime && !c.Quiet()
 	err := d.write(c)
 	closes := x.Close
 	x.end()
@@ -205,7 +212,7 @@
 		return err
 	}
 	if closes {
-		if ahead || c.buf.Len() > whole {
+		if x.Flows || ahead || c.buf.Len() > whole {
 			d.linger(c)
 		}
 		return errDone
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -235,24 +235,7 @@
 	if x.upload == nil || !x.upload.done() {
 		x.Close = true
 	}
-	if x.flow.begun {
-		return d.flowed(c)
-	}
-	if x.out == nil {
-		x.Answer(502, "text/plain; charset=utf-8", nil, []byte("failed\n"))
-	}
-	c.since = x.at
-	err := d.write(c)
-	closes := x.Close
-	x.end()
-	if err != nil {
-		return err
-	}
-	if closes {
-		d.linger(c)
-		return errDone
-	}
-	return d.ready(c, false)
+	return d.reply(c, 0)
 }
 
 // flow is an answer that goes out as it comes.
@@ -334,10 +317,10 @@
 }
 
 // flowed ends an answer that went out as it came.
-func (d *Door) flowed(c *conn) error {
+func (d *Door) flowed(c *conn, request int) error {
 	x := &c.x
 	c.since = time.Now()
-	whole, closes, flowed := x.flow.whole, x.Close, x.Flows
+	whole, closes := x.flow.whole, x.Close
 	x.end()
 	switch {
 	case !whole:
@@ -346,8 +329,6 @@
 		d.linger(c)
 		return errDone
 	}
-	if !flowed {
-		c.buf.Skip(c.whole)
-	}
+	c.buf.Skip(request)
 	return d.ready(c, false)
 }
