Log why every connection, attempt and request ends, with request ids

Change: the door's one 'connection ends' error is split by reason; a close over a request that is owed its answer is a warning, all other closes, attempts, answers and list entries are debug lines with ids. -log-level or BARLEYDRUM_LOG_LEVEL sets the level; info as before where neither is given. Two test calls follow the new signatures; no assertion changed.

--- a/cmd/barleydrum/main.go
+++ b/cmd/barleydrum/main.go
@@ -1,7 +1,7 @@
 // Command barleydrum is one sidecar: it balances its callers' requests over the
 // endpoints of a tier.
 //
-//	barleydrum [-settings FILE]
+//	barleydrum [-settings FILE] [-log-level LEVEL]
 //
 // PROXY_CONFIG names the platform's configuration. The operators' file narrows it, and says
 // all where there is none. SIGHUP has both read again, SIGTERM ends the program once what it
@@ -9,6 +9,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -27,30 +28,52 @@
 )
 
 func main() {
-	settings, err := arguments(os.Args[1:], os.Stderr)
+	opts, err := arguments(os.Args[1:], os.Getenv, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return
 	}
 	if err != nil {
 		os.Exit(2)
 	}
-	if err := run(settings); err != nil {
+	slog.SetLogLoggerLevel(opts.logLevel)
+	if err := run(opts.settings); err != nil {
 		fmt.Fprintf(os.Stderr, "barleydrum: %v\n", err)
 		os.Exit(1)
 	}
 }
 
+// options are what the command line says.
+type options struct {
+	settings string // the operators' file, empty for none
+	logLevel slog.Level
+}
+
+// logLevelVariable names the environment variable that sets the log level where no flag does.
+const logLevelVariable = "BARLEYDRUM_LOG_LEVEL"
+
 // arguments reads the command line. It says itself what is wrong with it.
-func arguments(args []string, out io.Writer) (settings string, err error) {
+func arguments(args []string, getenv func(string) string, out io.Writer) (options, error) {
+	var opts options
 	f := flag.NewFlagSet("barleydrum", flag.ContinueOnError)
 	f.SetOutput(out)
-	f.StringVar(&settings, "settings", "", "the operators' `FILE`; see docs/operators/settings.md")
-	if err = f.Parse(args); err == nil && f.NArg() > 0 {
+	f.StringVar(&opts.settings, "settings", "", "the operators' `FILE`; see docs/operators/settings.md")
+	level := f.String("log-level", cmp.Or(getenv(logLevelVariable), slog.LevelInfo.String()),
+		"debug, info, warn or error; debug logs every connection, attempt and answer. Left out: $"+logLevelVariable+", else info. `LEVEL`")
+	if err := f.Parse(args); err != nil {
+		return opts, err
+	}
+	err := opts.logLevel.UnmarshalText([]byte(*level))
+	switch {
+	case err != nil:
+		err = fmt.Errorf("log level %q: not debug, info, warn or error", *level)
+	case f.NArg() > 0:
 		err = fmt.Errorf("unknown argument %q", f.Arg(0))
-		fmt.Fprintf(out, "barleydrum: %v\n", err)
-		f.Usage()
+	default:
+		return opts, nil
 	}
-	return settings, err
+	fmt.Fprintf(out, "barleydrum: %v\n", err)
+	f.Usage()
+	return opts, err
 }
 
 // run serves until SIGTERM or SIGINT.
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -10,8 +11,15 @@
 	"barleydrum.example/barleydrum/internal/http1"
 )
 
-// errDone says that a connection has ended as it should.
-var errDone = errors.New("the connection ends")
+// Why a connection is ended from this side; any other reason is the error of a read or write.
+var (
+	errEvicted  = errors.New("closed to make room for another")
+	errAnswered = errors.New("closed after its last answer")
+	errBroken   = errors.New("closed within an answer that broke off")
+	errRefused  = errors.New("closed after a request that can't be used")
+	errDraining = errors.New("closed by the shutdown")
+	errHijacked = errors.New("handed over")
+)
 
 // The end of a connection on which more may come: it is read for a while, so that the answer
 // is not lost to a reset. One that sends on and on is not read for ever, and ends once it has
@@ -33,16 +41,34 @@
 			d.forget(c)
 		}
 	}()
-	for {
-		if err := d.next(c); err != nil {
-			break
-		}
+	var reason error
+	for reason == nil {
+		reason = d.next(c)
 	}
+	d.logClose(c, reason)
 	if c.buf != nil {
 		d.bufs.Put(c.buf)
 	}
 }
 
+// logClose logs why a connection ends. A request that it leaves without a whole answer is a
+// warning unless its caller has gone.
+func (d *Door) logClose(c *conn, reason error) {
+	level, message := slog.LevelDebug, "connection closed"
+	gone := d.gone(c)
+	if c.owed {
+		message = "connection closed with no whole answer"
+		if !gone {
+			level = slog.LevelWarn
+		}
+	}
+	if ctx := context.Background(); slog.Default().Enabled(ctx, level) {
+		id, _ := c.head.Get("X-Request-ID")
+		slog.Log(ctx, level, message, "connection", c.number, "reason", reason, "answered", c.answered,
+			"request", string(id), "caller gone", gone, "open", time.Since(c.opened))
+	}
+}
+
 // next serves one request. An error ends the connection.
 func (d *Door) next(c *conn) error {
 	times := d.cfg.Times()
@@ -62,7 +88,7 @@
 	for began := false; n == 0 && err == nil; began = true {
 		if !began {
 			if !d.reached(c, partial, time.Now()) {
-				return errDone
+				return errEvicted
 			}
 			c.SetReadDeadline(c.read.Add(times.Head))
 		}
@@ -93,7 +119,7 @@
 	text := c.buf.Bytes()
 	c.head.Moved(text)
 	if !d.reached(c, taken, c.read) {
-		return errDone
+		return errEvicted
 	}
 	return d.answer(c, text[n:whole], whole)
 }
@@ -101,7 +127,7 @@
 // body waits for the rest of a request.
 func (d *Door) body(c *conn, whole int) error {
 	if !d.reached(c, partial, time.Now()) {
-		return errDone
+		return errEvicted
 	}
 	times := d.cfg.Times()
 	if c.head.ExpectsContinue() {
@@ -140,7 +166,7 @@
 // refuse answers a request that can't be used, and ends the connection.
 func (d *Door) refuse(c *conn, r *Refusal) error {
 	if !d.reached(c, partial, time.Now()) {
-		return errDone
+		return errEvicted
 	}
 	x := &c.x
 	x.begin(nil)
@@ -152,7 +178,7 @@
 		return err
 	}
 	d.linger(c)
-	return errDone
+	return errRefused
 }
 
 // linger reads on for a while after the last answer.
@@ -182,11 +208,11 @@
 	x := &c.x
 	x.begin(body)
 	x.Close = c.head.Closes()
-	c.whole = whole
+	c.whole, c.owed = whole, true
 	d.cfg.Handler.Serve(x)
 	if c.hijacked {
 		x.end()
-		return errDone
+		return errHijacked
 	}
 	return d.reply(c, whole)
 }
@@ -211,11 +237,13 @@
 	if err != nil {
 		return err
 	}
+	c.owed = false
+	c.answered++
 	if closes {
 		if x.Flows || ahead || c.buf.Len() > whole {
 			d.linger(c)
 		}
-		return errDone
+		return errAnswered
 	}
 	c.buf.Skip(whole)
 	return d.ready(c, ahead)
@@ -238,10 +266,10 @@
 		return nil
 	}
 	if !d.reached(c, idle, c.since) {
-		return errDone
+		return errEvicted
 	}
 	if d.draining.Load() && c.Quiet() { // Shutdown may have looked for idle ones before
-		return errDone
+		return errDraining
 	}
 	return nil
 }
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -107,6 +107,10 @@
 	since   time.Time     // of the last answer, or of its begin
 	whole   int           // bytes of the request that is being answered
 
+	opened   time.Time
+	owed     bool // a request has been handed on whose answer has not gone out whole
+	answered int  // requests
+
 	hijacked bool // the connection is another's
 	x        Exchange
 }
@@ -197,6 +201,7 @@
 		return errors.Join(err, nc.Close())
 	}
 	c := &conn{Conn: s, head: http1.NewRequest(d.limits), since: time.Now()}
+	c.opened = c.since
 	c.guest.conn, c.x.c, c.x.d = c, c, d
 	d.mu.Lock()
 	d.last++
@@ -275,6 +280,13 @@
 	return true
 }
 
+// gone tells whether a connection's caller has gone.
+func (d *Door) gone(c *conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return c.gone
+}
+
 // left tells whoever answers a caller's request that the caller has gone.
 func (d *Door) left(number uint64) {
 	d.mu.Lock()
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -225,11 +225,12 @@
 	c.head.Moved(text)
 	c.buf.Skip(head)
 	if !d.reached(c, taken, c.read) {
-		return errDone
+		return errEvicted
 	}
 	x := &c.x
 	x.begin(nil)
 	x.Close = c.head.Closes()
+	c.owed = true
 	d.cfg.Handler.Serve(x)
 	x.StopUpload()
 	if x.upload == nil || !x.upload.done() {
@@ -322,12 +323,14 @@
 	c.since = time.Now()
 	whole, closes := x.flow.whole, x.Close
 	x.end()
-	switch {
-	case !whole:
-		return errDone // without its last bytes, by which the caller knows
-	case closes:
+	if !whole {
+		return errBroken // without its last bytes, by which the caller knows
+	}
+	c.owed = false
+	c.answered++
+	if closes {
 		d.linger(c)
-		return errDone
+		return errAnswered
 	}
 	c.buf.Skip(request)
 	return d.ready(c, false)
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -104,7 +104,7 @@
 }
 
 // Leave tells the engine that the caller has gone, see door.Leaver.
-func (c *Call) Leave() { c.engine.abandon(c) }
+func (c *Call) Leave() { c.engine.abandon(c, "the caller has gone") }
 
 // Serve hands a call to the balancer and returns its final answer. gone tells that the caller
 // has gone by now; Leave tells it later.
@@ -184,13 +184,13 @@
 	case <-c.wake:
 		c.timer.Stop()
 	case <-c.timer.C:
-		e.abandon(c)
+		e.abandon(c, "its time is up")
 	}
 	return e.free(c)
 }
 
 // abandon ends a call whose caller has gone or whose time is up, unless it has its answer.
-func (e *Engine) abandon(c *Call) {
+func (e *Engine) abandon(c *Call, why string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.answered {
@@ -200,7 +200,7 @@
 		c.answered = true
 		return
 	}
-	e.answer(c, Final{})
+	e.answer(c, Final{}, why)
 	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Abandoned(now, c.ID, acts)
 	})
@@ -208,10 +208,11 @@
 
 // answer gives a call its final answer, unless it has one. What waits to go out does not go
 // out any more.
-func (e *Engine) answer(c *Call, f Final) {
+func (e *Engine) answer(c *Call, f Final, decidedBy string) {
 	if c == nil || c.answered {
 		return
 	}
+	logAnswer(c, &f, decidedBy)
 	c.answered, c.final = true, f
 	for _, x := range c.attempts {
 		x.Leave()
@@ -269,6 +270,7 @@
 		n := x.n
 		x.Upload(c.Flow, c.Size, func() bool { return c.gate.Last(n, e.now()) })
 	}
+	logSend(x)
 	switch {
 	case c.answered || to.left:
 		x.Leave()
@@ -323,7 +325,7 @@
 	x.took = e.elapsed(x, now)
 	x.Extend(c.Until)
 	c.flowing = x
-	e.answer(c, Final{Served: &x.Exchange, Flows: true})
+	e.answer(c, Final{Served: &x.Exchange, Flows: true}, "an attempt")
 	e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Head(now, c.ID, x.n, acts)
 	})
@@ -383,7 +385,7 @@
 	}
 	if result == balance.OK {
 		if !c.answered {
-			e.answer(c, Final{Served: &x.Exchange})
+			e.answer(c, Final{Served: &x.Exchange}, "an attempt")
 		} else {
 			x.Done()
 		}
@@ -393,6 +395,7 @@
 		Request: c.ID, Attempt: x.n, Endpoint: x.id, Result: result, Closed: c.answered,
 		Elapsed: e.elapsed(x, now), Load: x.Load(),
 	}
+	logEnd(x, &o)
 	e.eventAt(now, func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Ended(now, o, acts)
 	})
--- a/internal/engine/call_test.go
+++ b/internal/engine/call_test.go
@@ -167,7 +167,7 @@
 	if c.inline == nil {
 		t.Error("the call's goroutine does not carry the attempt")
 	}
-	e.answer(c, Final{Refused: true})
+	e.answer(c, Final{Refused: true}, "the test")
 	e.mu.Unlock()
 	select {
 	case f := <-finals:
@@ -190,7 +190,7 @@
 	if x == nil || answered {
 		t.Fatalf("%v %v: no attempt to carry", x, answered)
 	}
-	e.abandon(c) // its caller goes between the decision and the first byte
+	e.abandon(c, "the test") // its caller goes between the decision and the first byte
 	x.Carry()
 	if _, answered := e.ended(x); !answered || x.Result() != balance.NotSent {
 		t.Errorf("answered %v, result %d", answered, x.Result())
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,9 +125,9 @@
 			c.attempts[a.Attempt].End(upstream.ErrCanceled)
 		}
 	case balance.Shed:
-		e.answer(e.calls[a.Request], Final{Refused: true, RetryAfter: a.Delay})
+		e.answer(e.calls[a.Request], Final{Refused: true, RetryAfter: a.Delay}, "the balancer")
 	case balance.Fail:
-		e.answer(e.calls[a.Request], Final{})
+		e.answer(e.calls[a.Request], Final{}, "the balancer")
 	case balance.SetTimer:
 		e.timers.push(due{e.at + a.Delay, a.Timer})
 	case balance.Probe:
@@ -259,6 +260,8 @@
 			to.route, to.started, to.closed = &upstream.Route{Addr: addr}, in.Started, false
 		}
 		to.left, to.gone = in.State != balance.InService, in.State == balance.Gone
+		slog.Debug("endpoint", "name", in.name, "version", l.Generation, "whole list", kind != balance.ListChanges,
+			"in service", !to.left, "gone", to.gone)
 	}
 	e.event(func(now time.Duration, acts []balance.Action) []balance.Action {
 		return e.balancer.Endpoints(now, kind, list, acts)
--- /dev/null
+++ b/internal/engine/log.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"context"
+	"log/slog"
+
+	"barleydrum.example/barleydrum/balance"
+)
+
+// resultNames are the names of an attempt's results in the log.
+var resultNames = [...]string{
+	balance.OK: "ok", balance.Error: "error", balance.Rejected: "rejected", balance.Timeout: "timeout",
+	balance.ConnectFailed: "connect failed", balance.Reset: "reset", balance.Canceled: "canceled", balance.NotSent: "not sent",
+}
+
+// debugging tells whether events of single requests are logged.
+func debugging() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
+// logSend logs the begin of an attempt.
+func logSend(x *attempt) {
+	if debugging() {
+		slog.Debug("attempt begun", "request", x.call.Name, "attempt", x.n, "endpoint", x.endpoint.name, "left service", x.endpoint.left)
+	}
+}
+
+// logEnd logs the end of an attempt, and why it has no answer.
+func logEnd(x *attempt, o *balance.Outcome) {
+	if debugging() {
+		slog.Debug("attempt ended", "request", x.call.Name, "attempt", x.n, "endpoint", x.endpoint.name,
+			"result", resultNames[o.Result], "why", x.Failed(), "elapsed", o.Elapsed, "after the answer", o.Closed)
+	}
+}
+
+// logAnswer logs the final answer to a request: what decided it is the module's answer, an attempt's, or
+// that the caller has gone or its time is up.
+func logAnswer(c *Call, f *Final, decidedBy string) {
+	if !debugging() {
+		return
+	}
+	kind := "failed"
+	switch {
+	case f.Served != nil:
+		kind = "served"
+	case f.Refused:
+		kind = "refused"
+	}
+	slog.Debug("request answered", "request", c.Name, "answer", kind, "by", decidedBy, "attempts", len(c.attempts), "retry after", f.RetryAfter)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -65,6 +65,7 @@
 	flow    flow // of an answer that is passed on as it comes
 
 	result balance.Result
+	failed error // why there is no usable answer
 	load   balance.Load
 	loaded bool
 }
@@ -75,7 +76,7 @@
 	x.pool, x.to, x.until = p, to, until
 	x.state, x.cause, x.interrupted, x.left, x.bound, x.conn, x.asked = waiting, nil, false, false, nil, nil, false
 	x.interim, x.headLen, x.framing, x.text, x.body = 0, 0, http1.None, nil, nil
-	x.loaded = false
+	x.loaded, x.failed = false, nil
 	x.upload, x.flow = upload{}, flow{}
 	x.limits = p.cfg.Limits()
 	x.head.Limits = http1.DefaultLimits
@@ -344,6 +345,7 @@
 	x.mu.Lock()
 	cause := x.cause
 	x.mu.Unlock()
+	x.failed = errors.Join(cause, err)
 	timeout := interface{ Timeout() bool }(nil)
 	switch {
 	case cause == ErrCanceled:
@@ -515,6 +517,9 @@
 // Result is how an exchange that is over has ended.
 func (x *Exchange) Result() balance.Result { return x.result }
 
+// Failed is why an exchange that is over has no usable answer, nil where an endpoint has answered.
+func (x *Exchange) Failed() error { return x.failed }
+
 // Load is the load report that came with the answer, nil for none.
 func (x *Exchange) Load() *balance.Load {
 	if !x.loaded {
