--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -56,14 +56,15 @@
 func (d *Door) logClose(c *conn, reason error) {
 	level, message := slog.LevelDebug, "connection closed"
 	gone := d.gone(c)
+	var id []byte
 	if c.owed {
 		message = "connection closed with no whole answer"
+		id, _ = c.head.Get("X-Request-ID") // the head is held until its answer is out
 		if !gone {
 			level = slog.LevelWarn
 		}
 	}
 	if ctx := context.Background(); slog.Default().Enabled(ctx, level) {
-		id, _ := c.head.Get("X-Request-ID")
 		slog.Log(ctx, level, message, "connection", c.number, "reason", reason, "answered", c.answered,
 			"request", string(id), "caller gone", gone, "open", time.Since(c.opened))
 	}
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -20,8 +20,11 @@
 // patience is how long a test waits for what must happen: no verdict leans on it being short.
 const patience = 20 * time.Second
 
+// hugeAnswer is the length of an answer that no socket takes at once.
+const hugeAnswer = 64 << 20
+
 // echo answers with the method, the target and the body. /hold waits for free, or until the
-// caller goes; /long answers with 4 MiB; /panic panics; /no is refused by its head.
+// caller goes; /long answers with 4 MiB, /huge with 64; /panic panics; /no is refused by its head.
 type echo struct {
 	held, left chan struct{}
 	free       chan struct{}
@@ -65,6 +68,9 @@
 	case "/long":
 		x.Answer(200, "", nil, make([]byte, 4<<20))
 		return
+	case "/huge":
+		x.Answer(200, "", nil, make([]byte, hugeAnswer))
+		return
 	case "/hold":
 		left := make(leaver, 1)
 		here := x.Watch(left)
