End a write's deadline with the write, so that it can't fail a later answer

Callers saw: a connection closed in place of an answer, from the write time (5 s) after an earlier request on it that waited for 100 Continue, was answered slowly or by an answer that flowed. A refusal that took no time was lost like any other. Cause: a deadline set for one operation outlived it. Door.body and Door.write set a write deadline on the connection and never took it back, nor did Exchange.send; a write without waiting (raw-write) is refused too once a deadline has passed. Change: sock.Conn.WriteBy writes by a deadline that ends with the call. Class: an operation's deadline kept as state of the connection. Checked for it: read deadlines on both sides (set anew before every wait), writes to endpoints (armed before each), hijacked connections (cleared).

--- a/internal/door/closing_test.go
+++ b/internal/door/closing_test.go
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+func TestAnswerIsWrittenAfterTheDeadlineOfOneThatFlowed(t *testing.T) {
+	h := open(t, 10, usualTimes())
+	c := h.dial(post("/flow", ""))
+	in := bufio.NewReader(c)
+	if _, got := h.answer(in); got != "flows" {
+		t.Fatalf("%q", got)
+	}
+	time.Sleep(flowTime + 100*time.Millisecond)
+	io.WriteString(c, post("/next", "x"))
+	if _, got := h.answer(in); got != "POST /next x" {
+		t.Errorf("%q", got)
+	}
+}
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"runtime/debug"
 	"time"
@@ -132,8 +131,7 @@
 	}
 	times := d.cfg.Times()
 	if c.head.ExpectsContinue() {
-		c.SetWriteDeadline(time.Now().Add(times.Write))
-		if _, err := io.WriteString(c, http1.Continue); err != nil {
+		if err := c.WriteBy([]byte(http1.Continue), time.Now().Add(times.Write)); err != nil {
 			return err
 		}
 	}
@@ -169,6 +167,7 @@
 	if !d.reached(c, partial, time.Now()) {
 		return errEvicted
 	}
+	slog.Debug("request can't be used", "connection", c.number, "status", r.Status, "why", r.Why)
 	x := &c.x
 	x.begin(nil)
 	x.Close = true
@@ -278,12 +277,7 @@
 // aheadTime is a wait that a request which came ahead may be off by.
 const aheadTime = 5 * time.Millisecond
 
-// write writes the answer. Most need no waiting, and so no deadline.
+// write writes the answer.
 func (d *Door) write(c *conn) error {
-	n, err := c.TryWrite(c.x.out)
-	if err == nil && n < len(c.x.out) {
-		c.SetWriteDeadline(time.Now().Add(d.cfg.Times().Write))
-		_, err = c.Write(c.x.out[n:])
-	}
-	return err
+	return c.WriteBy(c.x.out, time.Now().Add(d.cfg.Times().Write))
 }
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"barleydrum.example/barleydrum/internal/pace"
 )
 
 // patience is how long a test waits for what must happen: no verdict leans on it being short.
@@ -23,8 +25,12 @@
 // hugeAnswer is the length of an answer that no socket takes at once.
 const hugeAnswer = 64 << 20
 
+// flowTime is the time for an answer that flows.
+const flowTime = time.Second
+
 // echo answers with the method, the target and the body. /hold waits for free, or until the
-// caller goes; /long answers with 4 MiB, /huge with 64; /panic panics; /no is refused by its head.
+// caller goes; /long answers with 4 MiB, /huge with 64; /flow flows;
+// /panic panics; /no is refused by its head.
 type echo struct {
 	held, left chan struct{}
 	free       chan struct{}
@@ -71,6 +77,14 @@
 	case "/huge":
 		x.Answer(200, "", nil, make([]byte, hugeAnswer))
 		return
+	case "/flow":
+		text := []byte("flows")
+		how := Flow{Pace: pace.Meter{Rate: 1, Window: flowTime}, Until: time.Now().Add(flowTime)}
+		if err := x.Begin(200, nil, int64(len(text)), how); err == nil {
+			x.Write(text)
+			x.End(nil)
+		}
+		return
 	case "/hold":
 		left := make(leaver, 1)
 		here := x.Watch(left)
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -321,6 +321,7 @@
 func (d *Door) flowed(c *conn, request int) error {
 	x := &c.x
 	c.since = time.Now()
+	c.SetWriteDeadline(time.Time{}) // that of its last piece must not fail the next answer
 	whole, closes := x.flow.whole, x.Close
 	x.end()
 	if !whole {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -121,6 +122,19 @@
 	return s.sent, err
 }
 
+// WriteBy writes all of p. What can't be written without waiting is written by a deadline that ends
+// with the call: one that stayed would fail a later write that needs no waiting.
+func (s *Conn) WriteBy(p []byte, deadline time.Time) error {
+	n, err := s.TryWrite(p)
+	if err != nil || n == len(p) {
+		return err
+	}
+	s.SetWriteDeadline(deadline)
+	defer s.SetWriteDeadline(time.Time{})
+	_, err = s.Write(p[n:])
+	return err
+}
+
 // write writes once without waiting, and tells whether that did not fail.
 func (s *Conn) write(fd uintptr) bool {
 	for {
