Let a connection's own goroutine end it, unless it has read a request by then

Callers saw: a request that came as SIGTERM or a full sidecar ended its connection was sent on and got no answer, or was read and dropped. Cause: Shutdown and evict closed a connection whose bytes looked unread, while its goroutine had read a request and not noted that yet (door.go: Shutdown, evict). Two owners decided about one connection's end. Change: others ask a connection to end, by its read deadline and a reason; only its goroutine ends it, if nothing is left to read. Whatever it has read takes the request back and gets its answer. An idle time-out looks once more in the same way. What has not come whole once connections are accepted no more is answered 503 in place of being waited for until the kill. Class: check-then-act on a resource that another goroutine owns. Checked for it: the pool's idle connections (taken and closed under one lock), Hijack, flowing bodies.

--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -1,9 +1,11 @@
 package door
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -71,34 +73,15 @@
 
 // next serves one request. An error ends the connection.
 func (d *Door) next(c *conn) error {
-	times := d.cfg.Times()
 	if c.buf == nil {
-		wait := times.Idle
-		if c.arrived.IsZero() {
-			wait = times.Head
-		}
-		c.SetReadDeadline(c.since.Add(wait))
-		if err := d.fill(c); err != nil {
+		if err := d.rest(c); err != nil {
 			return err
 		}
 		c.arrived = c.read
 	}
-	c.head.Reset()
-	n, err := c.head.Parse(c.buf.Bytes())
-	for began := false; n == 0 && err == nil; began = true {
-		if !began {
-			if !d.reached(c, partial, time.Now()) {
-				return errEvicted
-			}
-			c.SetReadDeadline(c.read.Add(times.Head))
-		}
-		if err := d.fill(c); err != nil {
-			return err
-		}
-		n, err = c.head.Parse(c.buf.Bytes())
-	}
+	n, err := d.head(c)
 	if err != nil {
-		return d.refuse(c, refusal(err))
+		return err
 	}
 	c.x.State, c.x.Flows = nil, false
 	if r := d.cfg.Handler.Head(&c.x); r != nil {
@@ -118,32 +101,83 @@
 	}
 	text := c.buf.Bytes()
 	c.head.Moved(text)
-	if !d.reached(c, taken, c.read) {
-		return errEvicted
-	}
+	d.reached(c, taken, c.read)
 	return d.answer(c, text[n:whole], whole)
 }
 
+// rest waits for the first bytes of a request: on a connection at rest for as long as one may be idle,
+// on a new one for as long as a head may take. What has come by the end of that time, or as the
+// connection is asked to end, is read: only a connection with nothing unread ends at rest.
+func (d *Door) rest(c *conn) error {
+	times := d.cfg.Times()
+	wait := times.Idle
+	if c.arrived.IsZero() {
+		wait = times.Head
+	}
+	d.allow(c, c.since.Add(wait))
+	err := d.fill(c)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if c.Quiet() {
+		return cmp.Or(d.asked(c), err)
+	}
+	c.SetReadDeadline(time.Time{}) // there is something to read, so that nothing is waited for
+	return d.fill(c)
+}
+
+// head reads a request's head and returns how long it is.
+func (d *Door) head(c *conn) (n int, err error) {
+	c.head.Reset()
+	n, err = c.head.Parse(c.buf.Bytes())
+	for began := false; n == 0 && err == nil; began = true {
+		if !began {
+			d.reached(c, partial, time.Now())
+			d.allow(c, c.read.Add(d.cfg.Times().Head))
+		}
+		if err := d.fill(c); err != nil {
+			return 0, d.cutOff(c, err, nil)
+		}
+		n, err = c.head.Parse(c.buf.Bytes())
+	}
+	if err != nil {
+		return 0, d.refuse(c, refusal(err))
+	}
+	return n, nil
+}
+
 // body waits for the rest of a request.
 func (d *Door) body(c *conn, whole int) error {
-	if !d.reached(c, partial, time.Now()) {
-		return errEvicted
-	}
+	d.reached(c, partial, time.Now())
 	times := d.cfg.Times()
 	if c.head.ExpectsContinue() {
 		if err := c.WriteBy([]byte(http1.Continue), time.Now().Add(times.Write)); err != nil {
 			return err
 		}
 	}
-	c.SetReadDeadline(time.Now().Add(times.Body))
+	d.allow(c, time.Now().Add(times.Body))
 	for c.buf.Len() < whole {
 		if err := d.fill(c); err != nil {
-			return d.refuse(c, &Refusal{Status: 400, Why: "body: it did not come whole in time"})
+			return d.cutOff(c, err, &Refusal{Status: 400, Why: "body: it did not come whole in time"})
 		}
 	}
 	return nil
 }
 
+// cutOff ends a connection on which part of a request has come. One that gives way to another ends at
+// once, and one that the shutdown cuts off is told to come back; else the answer is r, nil for none.
+func (d *Door) cutOff(c *conn, err error, r *Refusal) error {
+	switch asked := d.asked(c); {
+	case asked == errDraining:
+		return d.refuse(c, &Refusal{Status: 503, Why: "shutting down"})
+	case asked != nil:
+		return asked
+	case r != nil:
+		return d.refuse(c, r)
+	}
+	return err
+}
+
 // fill reads what has come.
 func (d *Door) fill(c *conn) error {
 	b, err := c.Fill(c.buf)
@@ -164,9 +198,7 @@
 
 // refuse answers a request that can't be used, and ends the connection.
 func (d *Door) refuse(c *conn, r *Refusal) error {
-	if !d.reached(c, partial, time.Now()) {
-		return errEvicted
-	}
+	d.reached(c, partial, time.Now())
 	slog.Debug("request can't be used", "connection", c.number, "status", r.Status, "why", r.Why)
 	x := &c.x
 	x.begin(nil)
@@ -265,12 +297,7 @@
 		c.arrived = came
 		return nil
 	}
-	if !d.reached(c, idle, c.since) {
-		return errEvicted
-	}
-	if d.draining.Load() && c.Quiet() { // Shutdown may have looked for idle ones before
-		return errDraining
-	}
+	d.reached(c, idle, c.since)
 	return nil
 }
 
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -88,6 +88,7 @@
 	conns     map[uint64]*conn // that are open, by number
 	last      uint64
 	looking   bool // a timer will make room
+	closing   bool // what has not come whole by now is cut off
 	listeners []net.Listener
 	empty     chan struct{} // closed once the last connection has gone, where Shutdown waits
 }
@@ -99,6 +100,7 @@
 	number uint64
 	gone   bool   // the caller has gone; under Door.mu
 	leaver Leaver // of the request that is being answered; under Door.mu
+	asked  error  // to end, and why; under Door.mu
 
 	head    *http1.Request
 	buf     *http1.Buffer // nil while there is nothing in it
@@ -236,17 +238,48 @@
 	}
 }
 
-// reached notes the stage of a connection, and tells whether it is still in.
-func (d *Door) reached(c *conn, at stage, now time.Time) bool {
+// reached notes the stage of a connection. One that was asked to end and has read something since
+// is in again: whatever has been read gets its answer.
+func (d *Door) reached(c *conn, at stage, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.asked = nil
 	if !d.places.move(&c.guest, at, now) {
-		return false
+		d.places.enter(&c.guest, now)
+		d.places.move(&c.guest, at, now)
+		d.makeRoom(&c.guest)
+		return
 	}
 	if at != taken {
 		d.makeRoom(&c.guest)
 	}
-	return true
+}
+
+// ask asks a connection to end that has no request which is being answered. Its own goroutine ends it,
+// unless that has read something by then. The caller holds the lock.
+func (d *Door) ask(c *conn, reason error) {
+	c.asked = reason
+	c.SetReadDeadline(past)
+}
+
+// asked is why a connection has been asked to end, nil if it has not been.
+func (d *Door) asked(c *conn) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return c.asked
+}
+
+// allow sets the time by which something must be read, unless the connection is to end.
+func (d *Door) allow(c *conn, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.asked == nil && (d.closing || c.guest.at == idle && d.draining.Load()) {
+		c.asked = errDraining
+	}
+	if c.asked != nil {
+		until = past
+	}
+	c.SetReadDeadline(until)
 }
 
 // makeRoom closes connections until a place is free. If none may be closed yet, it looks
@@ -276,7 +309,7 @@
 		return false
 	}
 	d.places.leave(out)
-	out.conn.Close() // its goroutine finds that it has given way
+	d.ask(out.conn, errEvicted)
 	return true
 }
 
@@ -301,33 +334,23 @@
 	}
 }
 
-// Shutdown steers callers off: idle connections are closed, answers say that theirs ends, and
-// after linger no more connections are accepted. It returns when all have gone, or when ctx
-// ends, with how many are left.
+// Shutdown steers callers off: idle connections end, answers say that theirs ends, and after linger no
+// more connections are accepted, and those end on which no whole request has come. It returns when all
+// have gone, or when ctx ends, with how many are left.
 func (d *Door) Shutdown(ctx context.Context, linger time.Duration) (left int) {
 	d.draining.Store(true)
-	d.mu.Lock()
-	for g := d.places.lists[idle].front; g != nil; g = g.next {
-		if c := g.conn; c.Quiet() { // else a request is about to be read
-			c.Close()
-		}
-	}
-	d.mu.Unlock()
+	d.askAll(idle)
 	select {
 	case <-time.After(linger):
 	case <-ctx.Done():
 	}
 	d.closeListeners()
 	d.mu.Lock()
-	empty := make(chan struct{})
-	if len(d.conns) == 0 {
-		close(empty)
-	} else {
-		d.empty = empty
-	}
+	d.closing = true
 	d.mu.Unlock()
+	d.askAll(silent, idle, partial)
 	select {
-	case <-empty:
+	case <-d.emptied():
 	case <-ctx.Done():
 	}
 	d.mu.Lock()
@@ -337,6 +360,30 @@
 	return left
 }
 
+// askAll asks all connections at some stages to end, for the shutdown.
+func (d *Door) askAll(stages ...stage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range stages {
+		for g := d.places.lists[at].front; g != nil; g = g.next {
+			d.ask(g.conn, errDraining)
+		}
+	}
+}
+
+// emptied is closed once no connection is left.
+func (d *Door) emptied() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	empty := make(chan struct{})
+	if len(d.conns) == 0 {
+		close(empty)
+	} else {
+		d.empty = empty
+	}
+	return empty
+}
+
 func (d *Door) closeListeners() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -224,9 +224,7 @@
 	text := append([]byte(nil), c.buf.Bytes()[:head]...)
 	c.head.Moved(text)
 	c.buf.Skip(head)
-	if !d.reached(c, taken, c.read) {
-		return errEvicted
-	}
+	d.reached(c, taken, c.read)
 	x := &c.x
 	x.begin(nil)
 	x.Close = c.head.Closes()
