Answer requests sent together that are read before the shutdown's last answer

Callers saw: of requests sent together on a connection only the first was answered once the shutdown had begun, though the others had been read. Cause: an answer said Connection: close whenever the door was draining, whatever stood behind the request (exchange.go: common). Evidence: TestRequestsSentTogetherAreAllAnsweredDuringShutdown failed: the first answer closed, the second request got none. Change: while draining, the answer says so only where nothing has come behind. Result: the test passes.

--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -89,12 +89,16 @@
 		b = fields(b)
 	}
 	// What is left of a request's body can't be told from the next request.
-	if x.Close = x.Close || x.d.draining.Load() || x.upload != nil && !x.upload.done(); x.Close {
+	x.Close = x.Close || x.upload != nil && !x.upload.done() || x.d.draining.Load() && !x.more()
+	if x.Close {
 		b = http1.AppendField(b, "Connection", "close")
 	}
 	return b
 }
 
+// more tells whether something has come behind the request, which is answered too.
+func (x *Exchange) more() bool { return x.c.buf.Len() > x.c.whole || !x.c.Quiet() }
+
 // Raw is a connection that its door has handed over. Its reader gets first what had been read
 // behind the request. It keeps its place, and Shutdown waits for it, until Close.
 type Raw struct {
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -228,7 +228,7 @@
 	x := &c.x
 	x.begin(nil)
 	x.Close = c.head.Closes()
-	c.owed = true
+	c.whole, c.owed = 0, true
 	d.cfg.Handler.Serve(x)
 	x.StopUpload()
 	if x.upload == nil || !x.upload.done() {
