Answer 500 to a request whose handler panics, in place of a bare close

Callers saw: nothing, since no panic is known; a request that met one would be lost. Cause: the connection's goroutine recovered and closed, with the request unanswered. Result: the test failed before the change and passes with it.

--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -36,6 +36,7 @@
 	defer func() {
 		if fault := recover(); fault != nil { // one request's, which the others outlive
 			slog.Error("door: panic", "fault", fault, "stack", string(debug.Stack()))
+			d.answerPanic(c)
 		}
 		if !c.hijacked {
 			c.Close()
@@ -52,6 +53,19 @@
 	}
 }
 
+// answerPanic answers a request whose handler has panicked, unless part of an answer has gone out.
+func (d *Door) answerPanic(c *conn) {
+	x := &c.x
+	if !c.owed || c.hijacked || x.owned == nil || x.flow.begun {
+		return
+	}
+	x.Close = true
+	x.Answer(500, "text/plain; charset=utf-8", nil, []byte("failed\n"))
+	if d.write(c) == nil {
+		d.linger(c)
+	}
+}
+
 // logClose logs why a connection ends. A request that it leaves without a whole answer is a
 // warning unless its caller has gone.
 func (d *Door) logClose(c *conn, reason error) {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -672,8 +672,8 @@
 // A fault in answering one request ends its connection and no other.
 func TestPanic(t *testing.T) {
 	h := open(t, 10, usualTimes())
-	if got, err := io.ReadAll(h.dial(post("/panic", ""))); err != nil || len(got) > 0 {
-		t.Errorf("%q %v", got, err)
+	if resp, _ := h.answer(bufio.NewReader(h.dial(post("/panic", "")))); resp.StatusCode != 500 || !resp.Close {
+		t.Errorf("%s, closes %v", resp.Status, resp.Close)
 	}
 	if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
 		t.Errorf("%q", got)
