Tell an endpoint the time that is left as its request goes out

Endpoints saw: an X-Timeout of up to 0.67 s more than the client had left (0.15 s is allowed), where a connection came up late; a request with no time left was blamed on its endpoint as a failed connection. Cause: the request was composed, X-Timeout and all, before a connection was waited for or dialled (engine: send, appendRequest); nothing looked at the clock again. Change: the composed request has a place for the value, which is put in at the first write on each connection; with no time left nothing is written, and the attempt was not sent. Class: a span of time computed once and used later. Checked for it: probes (no value), bodies that flow (same path), stale connections (the value is put in anew). Result: with the value put in as the request is composed the first test fails by 400 ms; without the look at the clock the second ends as a failed connection in place of not sent. With the change both pass.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"barleydrum.example/barleydrum/balance"
@@ -260,11 +259,11 @@
 	x.slot = len(to.out)
 	to.out = append(to.out, x)
 	until := min(a.Until, c.last)
-	x.Begin(e.pool, to.route, e.on(until), func(b []byte) []byte {
+	x.Begin(e.pool, to.route, e.on(until), func(b []byte) ([]byte, int) {
 		if c.answered {
-			return b
+			return b, 0
 		}
-		return appendRequest(b, c, until-e.at)
+		return appendRequest(b, c)
 	})
 	if c.Flow != nil {
 		n := x.n
@@ -412,9 +411,9 @@
 	return nil, false
 }
 
-// appendRequest appends a call's request as it goes to an endpoint, which is waited for so long.
-// What is not the protocol's own goes on as it came; the body is framed anew.
-func appendRequest(b []byte, c *Call, wait time.Duration) []byte {
+// appendRequest appends a call's request as it goes to an endpoint, and returns where the value of
+// X-Timeout belongs. What is not the protocol's own goes on as it came; the body is framed anew.
+func appendRequest(b []byte, c *Call) (text []byte, timeoutAt int) {
 	r := c.Head
 	b = http1.AppendRequestLine(b, r.Method(), r.Target())
 	for i := range r.Len() {
@@ -422,16 +421,19 @@
 			b = http1.AppendParsed(b, f)
 		}
 	}
-	b = append(b, "X-Timeout: "...)
-	b = strconv.AppendInt(b, max(wait.Microseconds(), 1), 10)
-	b = append(b, "u\r\n"...)
 	switch {
 	case c.Flow != nil && c.Size < 0:
-		return http1.AppendEnd(http1.AppendCoding(b))
+		b = http1.AppendCoding(b)
 	case c.Flow != nil:
-		return http1.AppendEnd(http1.AppendLength(b, c.Size))
+		b = http1.AppendLength(b, c.Size)
 	case len(c.Body) > 0 || string(r.Method()) != http.MethodGet:
 		b = http1.AppendLength(b, int64(len(c.Body)))
 	}
-	return append(http1.AppendEnd(b), c.Body...)
+	b = append(b, "X-Timeout: "...)
+	timeoutAt = len(b)
+	b = http1.AppendEnd(append(b, "\r\n"...))
+	if c.Flow == nil {
+		b = append(b, c.Body...)
+	}
+	return b, timeoutAt
 }
--- a/internal/http1/buffer.go
+++ b/internal/http1/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 )
 
@@ -48,6 +49,11 @@
 	b.b = f(b.b)
 }
 
+// Replace puts text in the place of n unused bytes, the first of which is at an offset.
+func (b *Buffer) Replace(at, n int, text []byte) {
+	b.b = slices.Replace(b.b, b.r+at, b.r+at+n, text...)
+}
+
 // Reset drops all bytes.
 func (b *Buffer) Reset() { b.b, b.r = b.b[:0], 0 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 	to    *Route
 	until time.Time
 	out   *http1.Buffer // what is still to be written; nil once it has been
+	told  timeoutField  // within out
 	conn  *conn         // nil before there is one, and once it is over
 	fresh bool          // conn has carried nothing before
 	asked bool          // the request has begun to be written
@@ -70,9 +72,19 @@
 	loaded bool
 }
 
+// timeoutField is where a request tells the endpoint how long it will be waited for.
+type timeoutField struct {
+	at     int // offset of the value, 0 for none
+	length int // of the value that stands there
+}
+
+// Compose appends a request's text, and returns the offset at which the value of its X-Timeout is to
+// be put in as it goes out, 0 for none.
+type Compose func(b []byte) (text []byte, timeoutAt int)
+
 // Begin makes an exchange ready to be carried: a request that compose appends, to be sent to a
 // route and answered before until. What it held before is dropped.
-func (x *Exchange) Begin(p *Pool, to *Route, until time.Time, compose func(b []byte) []byte) {
+func (x *Exchange) Begin(p *Pool, to *Route, until time.Time, compose Compose) {
 	x.pool, x.to, x.until = p, to, until
 	x.state, x.cause, x.interrupted, x.left, x.bound, x.conn, x.asked = waiting, nil, false, false, nil, nil, false
 	x.interim, x.headLen, x.framing, x.text, x.body = 0, 0, http1.None, nil, nil
@@ -83,9 +95,31 @@
 	x.head.Limits.Head = x.limits.Head
 	x.head.Reset()
 	x.out = p.bufs.Get()
-	x.out.Compose(compose)
+	x.told = timeoutField{}
+	x.out.Compose(func(b []byte) []byte {
+		b, x.told.at = compose(b)
+		return b
+	})
 }
 
+// tellTimeout puts into the request how long the endpoint has from now on, which may be less than when
+// the request was composed: a connection may have been waited for. It tells whether there is any time.
+func (x *Exchange) tellTimeout() bool {
+	left := time.Until(x.last()).Microseconds()
+	if left <= 0 {
+		return false
+	}
+	if x.told.at > 0 {
+		value := append(strconv.AppendInt(make([]byte, 0, maxTimeoutValue), left, 10), 'u')
+		x.out.Replace(x.told.at, x.told.length, value)
+		x.told.length = len(value)
+	}
+	return true
+}
+
+// maxTimeoutValue is the longest value of X-Timeout, in bytes.
+const maxTimeoutValue = 20
+
 // Ready takes a connection that stands idle, and tells whether there was one. It does not wait.
 func (x *Exchange) Ready() bool {
 	x.conn = x.pool.take(x.to)
@@ -136,6 +170,13 @@
 		x.fail(false, ErrLeft)
 		return Over
 	}
+	if x.out != nil && !x.asked && !x.tellTimeout() {
+		x.unbind()
+		x.pool.put(x.conn) // nothing has been written on it
+		x.conn = nil
+		x.fail(false, errNoTime)
+		return Over
+	}
 	if x.upload.src != nil && !x.asked {
 		if !x.conn.Quiet() {
 			return x.stale()
@@ -350,7 +391,7 @@
 	switch {
 	case cause == ErrCanceled:
 		x.result = balance.Canceled
-	case !sent && (cause == ErrLeft || errors.Is(err, errNoSlot) || errors.As(err, new(unsendable))): // through no fault of the endpoint
+	case !sent && (cause == ErrLeft || errors.Is(err, errNoSlot) || errors.Is(err, errNoTime) || errors.As(err, new(unsendable))): // through no fault of the endpoint
 		x.result = balance.NotSent
 	case !sent:
 		x.result = balance.ConnectFailed
@@ -390,6 +431,8 @@
 
 func (s spoilt) Unwrap() error { return s.error }
 
+var errNoTime = errors.New("no time was left for the request as it was to go out")
+
 var errSpokeFirst = errors.New("the endpoint spoke, or closed, before the request was sent")
 
 var errBodyTooLong = errors.New("body too long")
@@ -556,9 +599,9 @@
 // Probe asks a route for its load, or where there are no reports whether it is well.
 func (p *Pool) Probe(to *Route, path string, within time.Duration) (balance.Result, *balance.Load) {
 	x := new(Exchange)
-	x.Begin(p, to, time.Now().Add(within), func(b []byte) []byte {
+	x.Begin(p, to, time.Now().Add(within), func(b []byte) ([]byte, int) {
 		b = http1.AppendRequestLine(b, []byte(http.MethodGet), []byte(path))
-		return http1.AppendEnd(http1.AppendField(b, "Host", to.Addr))
+		return http1.AppendEnd(http1.AppendField(b, "Host", to.Addr)), 0
 	})
 	x.Carry()
 	defer x.Done()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -35,12 +35,12 @@
 func usualPool() *Pool { return newPool(100, 5*time.Second, time.Hour) }
 
 // request is a request's text.
-func request(method, body string) func(b []byte) []byte {
-	return func(b []byte) []byte {
+func request(method, body string) Compose {
+	return func(b []byte) ([]byte, int) {
 		b = http1.AppendRequestLine(b, []byte(method), []byte("/"))
 		b = http1.AppendField(b, "Host", "a")
 		b = http1.AppendField(b, "Idempotency-Key", "k")
-		return append(http1.AppendEnd(http1.AppendLength(b, int64(len(body)))), body...)
+		return append(http1.AppendEnd(http1.AppendLength(b, int64(len(body)))), body...), 0
 	}
 }
 
@@ -61,6 +61,104 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
+// timedRequest is the text of a request that tells how long it will be waited for.
+func timedRequest(body string) Compose {
+	return func(b []byte) ([]byte, int) {
+		b = http1.AppendRequestLine(b, []byte("POST"), []byte("/"))
+		b = http1.AppendField(b, "Host", "a")
+		b = append(http1.AppendLength(b, int64(len(body))), "X-Timeout: "...)
+		at := len(b)
+		return append(http1.AppendEnd(append(b, "\r\n"...)), body...), at
+	}
+}
+
+// timeoutNode answers each request with the X-Timeout that it was told.
+func timeoutNode(t *testing.T) string {
+	return standin.TCP(t, func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if body, err := io.ReadAll(req.Body); err != nil || string(body) != "body" {
+				t.Errorf("body %q, %v", body, err)
+			}
+			io.WriteString(c, ok(req.Header.Get("X-Timeout")))
+		}
+	})
+}
+
+func TestToldTimeoutIsWhatIsLeftAsTheRequestGoesOut(t *testing.T) {
+	const patience, delay = 5 * time.Second, 400 * time.Millisecond
+	addr := timeoutNode(t)
+	for name, prepare := range map[string]func(p *Pool, to *Route) (waits time.Duration){
+		"a connection is waited for": func(p *Pool, _ *Route) time.Duration {
+			p.slots <- struct{}{}
+			time.AfterFunc(delay, func() { <-p.slots })
+			return delay
+		},
+		"the first connection is stale": func(p *Pool, to *Route) time.Duration {
+			p.put(staleConn(t, p, to))
+			return 0
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, to := newPool(1, 5*time.Second, time.Hour), &Route{Addr: addr}
+			defer p.Release(to, false)
+			x := new(Exchange)
+			until := time.Now().Add(patience)
+			x.Begin(p, to, until, timedRequest("body"))
+			waits := prepare(p, to)
+			got, value := carry(x)
+			told, err := time.ParseDuration(strings.TrimSuffix(value, "u") + "us")
+			if got != balance.OK || err != nil {
+				t.Fatalf("%v %q %v", got, value, err)
+			}
+			if late := told - (patience - waits); late > 0 || told <= 0 {
+				t.Errorf("told %v, which is %v more than was left", told, late)
+			}
+		})
+	}
+}
+
+// staleConn is a connection to a route whose other end has closed it.
+func staleConn(t *testing.T, p *Pool, to *Route) *conn {
+	t.Helper()
+	addr := standin.TCP(t, func(c net.Conn) { c.Close() })
+	p.slots <- struct{}{}
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := sock.New(nc, &p.bufs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for s.Quiet() { // until the end has come
+		time.Sleep(time.Millisecond)
+	}
+	return &conn{Conn: s, to: to, pool: p}
+}
+
+func TestRequestWithNoTimeLeftIsNotSentAndBlamesNoEndpoint(t *testing.T) {
+	addr := timeoutNode(t)
+	p, to := usualPool(), &Route{Addr: addr}
+	defer p.Release(to, false)
+	if got, _ := do(p, to, "POST", "body"); got != balance.OK { // so that a connection is at hand
+		t.Fatal(got)
+	}
+	x := new(Exchange)
+	x.Begin(p, to, time.Now(), timedRequest("body"))
+	if got, _ := carry(x); got != balance.NotSent {
+		t.Errorf("%v, want not sent", got)
+	}
+	if got, _ := do(p, to, "POST", "body"); got != balance.OK {
+		t.Errorf("the connection is of no more use: %v", got)
+	}
+}
+
 // Libraries repeat by themselves a request that fails on a reused connection, also
 // a POST with an Idempotency-Key. Each repeat must be the balancer's.
 func TestNoHiddenResend(t *testing.T) {
