Wait again for callers that go where a signal has interrupted the wait

Callers saw: nothing, but a caller that left as a signal came (a SIGHUP series) was noticed only when the next one left; its request could get further attempts. Cause: Watch.Run took EINTR for nothing to read and waited for a new edge, which the runtime gives only at a change (watch.go: Run). Result: TestWatchGoesOnAfterAnInterruptedWait is not told within its patience with the old line, and passes with the new.

--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -124,3 +126,62 @@
 		t.Error(err)
 	}
 }
+
+func TestWatchGoesOnAfterAnInterruptedWait(t *testing.T) {
+	w, err := NewWatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	calls, waiting := 0, make(chan struct{})
+	w.poll = func(epfd int, events []syscall.EpollEvent, msec int) (int, error) {
+		switch calls++; calls {
+		case 1:
+			close(waiting)
+		case 2: // the call after the news
+			return -1, syscall.EINTR
+		}
+		return syscall.EpollWait(epfd, events, msec)
+	}
+	told := make(chan uint64, 1)
+	var bufs http1.Buffers
+	here, there := pair(t, &bufs)
+	if err := w.Add(here, 7); err != nil {
+		t.Fatal(err)
+	}
+	go w.Run(func(number uint64) { told <- number })
+	<-waiting
+	there.Close()
+	select {
+	case got := <-told:
+		if got != 7 {
+			t.Errorf("%d was told", got)
+		}
+	case <-time.After(patience):
+		t.Fatal("it is not told")
+	}
+}
+
+func TestErrorsTellWhoseFaultTheyAre(t *testing.T) {
+	wrapped := func(errno syscall.Errno) error {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+	}
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH} {
+		if !Momentary(wrapped(errno)) {
+			t.Errorf("%v is held to be the endpoint's", errno)
+		}
+	}
+	for _, errno := range []syscall.Errno{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+		if Momentary(wrapped(errno)) || DeadlinePassed(wrapped(errno)) {
+			t.Errorf("%v is held to be this machine's, or a deadline of ours", errno)
+		}
+	}
+	for _, errno := range []syscall.Errno{
+		syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN,
+		syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
+	} {
+		if ListenerBroken(wrapped(errno)) {
+			t.Errorf("%v ends the listener", errno)
+		}
+	}
+}
--- a/internal/sock/watch.go
+++ b/internal/sock/watch.go
@@ -16,6 +16,7 @@
 	raw    syscall.RawConn
 	epfd   int
 	closed atomic.Bool
+	poll   func(epfd int, events []syscall.EpollEvent, msec int) (n int, err error) // epoll_wait(2)
 }
 
 // goneEvents are told once for each connection, as it happens.
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("watch: %w", err), f.Close())
 	}
-	return &Watch{file: f, raw: raw, epfd: fd}, nil
+	return &Watch{file: f, raw: raw, epfd: fd, poll: syscall.EpollWait}, nil
 }
 
 // Add has a connection watched under a number until it is closed.
@@ -54,14 +55,7 @@
 func (w *Watch) Run(gone func(number uint64)) error {
 	events := make([]syscall.EpollEvent, 128)
 	for {
-		n := 0
-		err := w.raw.Read(func(fd uintptr) bool {
-			var err error
-			if n, err = syscall.EpollWait(int(fd), events, 0); err != nil {
-				n = 0
-			}
-			return n > 0
-		})
+		n, err := w.wait(events)
 		if w.closed.Load() {
 			return nil
 		}
@@ -74,6 +68,19 @@
 	}
 }
 
+// wait waits for events. The runtime tells only of a change, so that a call that a signal has interrupted
+// is made again at once.
+func (w *Watch) wait(events []syscall.EpollEvent) (n int, err error) {
+	readErr := w.raw.Read(func(fd uintptr) bool {
+		for {
+			if n, err = w.poll(int(fd), events, 0); err != syscall.EINTR {
+				return err != nil || n > 0
+			}
+		}
+	})
+	return n, errors.Join(readErr, err)
+}
+
 // Close ends Run.
 func (w *Watch) Close() error {
 	w.closed.Store(true)
