Tell errors of this machine and of the network from the endpoint's and our own time-outs

Operators would see: the program end on an accept that fails with ENETUNREACH or EHOSTUNREACH, which accept(2) names; endpoints blamed for EADDRNOTAVAIL or ENOBUFS of this machine; a connection that broke with ETIMEDOUT counted as our own time-out. Cause: Serve listed the errors that pass, exchanges asked net.Error's Timeout, which ETIMEDOUT answers with true, and dial knew EMFILE and ENFILE alone. Change: sock.ListenerBroken, Momentary and DeadlinePassed decide by errno; a connect that fails for a moment is tried five times within 15 ms, and then blames nobody. A connection that can't be watched is closed and does not end the program. Class: a closed list of errors where the platform's is open. Checked for it: accept, connect, reads and writes on both sides, epoll_wait. Result: with the old conditions the new tests fail (the listener ends; ConnectFailed in place of served or not sent; Timeout in place of Reset).

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -15,7 +15,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"barleydrum.example/barleydrum/internal/body"
@@ -152,9 +151,10 @@
 		}
 		c, err := l.Accept()
 		if err == nil {
-			err = d.enter(c)
-		}
-		if err == nil {
+			if err := d.enter(c); err != nil {
+				slog.Warn("door: a connection can't be served", "err", err)
+				<-d.slots
+			}
 			pause = 0
 			continue
 		}
@@ -166,10 +166,10 @@
 		}
 		// A connection that breaks as it is accepted says nothing of the next. Without a
 		// descriptor the next fails too, until one is free: the least loss gives way.
-		if !passing(err) {
+		if sock.ListenerBroken(err) {
 			return fmt.Errorf("door: %w", err)
 		}
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if sock.NoDescriptor(err) {
 			d.mu.Lock()
 			d.evict(nil)
 			d.mu.Unlock()
@@ -183,19 +183,6 @@
 	}
 }
 
-// passing tells whether accepting may go on after an error.
-func passing(err error) bool {
-	for _, e := range []error{
-		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET,
-		syscall.EPROTO, syscall.EPERM, syscall.ETIMEDOUT, syscall.ENOSPC,
-	} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
 // enter lets a connection in, whose place has been taken.
 func (d *Door) enter(nc net.Conn) error {
 	s, err := sock.New(nc, &d.bufs)
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -607,6 +607,34 @@
 	}
 }
 
+// failing is a listener whose accept fails before each connection, with one error after another.
+type failing struct {
+	net.Listener
+	errors []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if len(f.errors) > 0 {
+		err := f.errors[0]
+		f.errors = f.errors[1:]
+		return nil, &net.OpError{Op: "accept", Err: err}
+	}
+	return f.Listener.Accept()
+}
+
+func TestAcceptFailuresThatPassDoNotEndTheListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := openAt(t, &failing{l, []error{
+		syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.EADDRNOTAVAIL,
+	}}, 10, usualTimes())
+	if _, got := h.answer(bufio.NewReader(h.dial(post("/", "x")))); got != "POST / x" {
+		t.Errorf("%q", got)
+	}
+}
+
 // Another error of the listener is told.
 func TestListenerFails(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -10,6 +10,7 @@
 	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
 	"barleydrum.example/barleydrum/internal/pace"
+	"barleydrum.example/barleydrum/internal/sock"
 )
 
 // What may end a body that flows, beside what can't be read (an *http1.Error).
@@ -202,13 +203,13 @@
 		n, err := f()
 		now := time.Now()
 		fast := u.how.Pace.Waited(now.Sub(began), n)
-		switch timeout := net.Error(nil); {
+		switch {
 		case err == nil && fast:
 			u.c.read = now
 			return n, nil
 		case err == nil:
 			return 0, fmt.Errorf("body: %w", ErrSlow)
-		case !errors.As(err, &timeout) || !timeout.Timeout():
+		case !sock.DeadlinePassed(err):
 			return 0, fmt.Errorf("body: %w: %w", ErrGone, err)
 		case !now.Before(u.how.Until):
 			return 0, fmt.Errorf("body: %w", ErrTime)
@@ -302,10 +303,10 @@
 		n, err := x.c.WriteAll(&all)
 		now := time.Now()
 		fast := f.how.Pace.Waited(now.Sub(began), int(n))
-		switch timeout := net.Error(nil); {
+		switch {
 		case err == nil:
 			return nil
-		case !errors.As(err, &timeout) || !timeout.Timeout():
+		case !sock.DeadlinePassed(err):
 			return err
 		case !now.Before(f.how.Until):
 			return fmt.Errorf("answer: %w", ErrTime)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"barleydrum.example/barleydrum/balance"
 	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
+	"barleydrum.example/barleydrum/internal/sock"
 )
 
 // Why an exchange was ended from this side.
@@ -372,8 +373,7 @@
 	x.conn = nil
 	if !whole {
 		// What broke is told by the upload, unless that was only ended here, for the endpoint's end.
-		timeout := interface{ Timeout() bool }(nil)
-		if errors.Is(cause, body.ErrStopped) && !errors.As(err, &timeout) {
+		if errors.Is(cause, body.ErrStopped) && !timedOut(err) {
 			cause = err
 		}
 		sent, err = errors.As(err, new(spoilt)), cause
@@ -387,7 +387,6 @@
 	cause := x.cause
 	x.mu.Unlock()
 	x.failed = errors.Join(cause, err)
-	timeout := interface{ Timeout() bool }(nil)
 	switch {
 	case cause == ErrCanceled:
 		x.result = balance.Canceled
@@ -397,7 +396,7 @@
 		x.result = balance.ConnectFailed
 	case errors.As(err, new(spoilt)):
 		x.result = balance.Error
-	case cause != nil, errors.As(err, &timeout) && timeout.Timeout():
+	case cause != nil, timedOut(err):
 		x.result = balance.Timeout
 	default:
 		x.result = balance.Reset
@@ -405,6 +404,9 @@
 	x.drop()
 }
 
+// timedOut tells whether an endpoint was waited for in vain.
+func timedOut(err error) bool { return sock.DeadlinePassed(err) || errors.Is(err, ErrSlow) }
+
 // drop gives the buffers back.
 func (x *Exchange) drop() {
 	if x.out != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,7 +10,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"barleydrum.example/barleydrum/internal/http1"
@@ -34,6 +33,9 @@
 	KeepAlive   time.Duration // one may stand idle
 	Limits      func() Limits // of answers; they may change
 
+	// Dial opens a connection, nil for net.Dialer's DialContext.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	// Pace is what is asked of an endpoint that takes a body, or sends one, as it comes.
 	Pace func() pace.Meter
 }
@@ -75,6 +77,9 @@
 
 // NewPool returns a Pool.
 func NewPool(cfg Config) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = new(net.Dialer).DialContext
+	}
 	return &Pool{cfg: cfg, large: http1.Buffers{Size: flowBuffer}, slots: make(chan struct{}, cfg.Connections)}
 }
 
@@ -89,7 +94,14 @@
 }
 
 // errNoSlot says that a connection can't be opened for a reason that lies on this side.
-var errNoSlot = errors.New("no descriptor left for a connection")
+var errNoSlot = errors.New("this machine has no room for a connection")
+
+// How often a connection is tried that can't be made for a moment, and the first pause between two tries,
+// which doubles.
+const (
+	connectTries = 5
+	connectPause = time.Millisecond
+)
 
 // take removes and returns the idle connection to a route that was used last, or nil.
 func (p *Pool) take(to *Route) *conn {
@@ -200,11 +212,11 @@
 			return nil, err
 		}
 	}
-	nc, err := new(net.Dialer).DialContext(ctx, "tcp", to.Addr)
+	nc, err := p.connect(ctx, to.Addr)
 	if err != nil {
 		<-p.slots
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			err = errNoSlot
+		if sock.Momentary(err) {
+			err = errors.Join(errNoSlot, err)
 		}
 		return nil, err
 	}
@@ -216,6 +228,23 @@
 	return &conn{Conn: s, to: to, pool: p}, nil
 }
 
+// connect opens a connection. What lies on this machine and may pass is tried again, for a moment.
+func (p *Pool) connect(ctx context.Context, addr string) (net.Conn, error) {
+	pause := connectPause
+	for try := 1; ; try++ {
+		nc, err := p.cfg.Dial(ctx, "tcp", addr)
+		if err == nil || try == connectTries || !sock.Momentary(err) || sock.NoDescriptor(err) {
+			return nc, err
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, err
+		}
+		pause *= 2
+	}
+}
+
 // wait waits for a slot.
 func (p *Pool) wait(ctx context.Context) error {
 	p.mu.Lock()
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -11,6 +11,7 @@
 	"barleydrum.example/barleydrum/internal/body"
 	"barleydrum.example/barleydrum/internal/http1"
 	"barleydrum.example/barleydrum/internal/pace"
+	"barleydrum.example/barleydrum/internal/sock"
 )
 
 // flowBuffer is what an answer that flows is read by.
@@ -21,12 +22,7 @@
 const earlyAnswer = 200 * time.Millisecond
 
 // ErrSlow says that an endpoint took or sent too little for too long.
-var ErrSlow = slow{}
-
-type slow struct{}
-
-func (slow) Error() string { return "the endpoint is slow" }
-func (slow) Timeout() bool { return true }
+var ErrSlow = errors.New("the endpoint is slow")
 
 // errTooLate says that a body would be whole at the endpoint after the time by which it must.
 var errTooLate = errors.New("the body was not whole while a repeat of it would be dropped")
@@ -177,10 +173,10 @@
 		}
 		n, err := p.conn.WriteAll(&all)
 		fast := p.meter.Waited(time.Since(began), int(n))
-		switch timeout := interface{ Timeout() bool }(nil); {
+		switch {
 		case err == nil:
 			return nil
-		case !errors.As(err, &timeout) || !timeout.Timeout():
+		case !sock.DeadlinePassed(err):
 			return err
 		case !fast || !time.Now().Before(p.x.last()):
 			return fmt.Errorf("upload: %w", ErrSlow)
@@ -322,10 +318,10 @@
 		buf, err := x.conn.Fill(x.buf)
 		x.buf = buf
 		fast := x.flow.meter.Waited(time.Since(began), buf.Len()-had)
-		switch timeout := interface{ Timeout() bool }(nil); {
+		switch {
 		case err == nil:
 			return nil
-		case !errors.As(err, &timeout) || !timeout.Timeout():
+		case !sock.DeadlinePassed(err):
 			return err
 		case !fast || !time.Now().Before(x.last()):
 			return fmt.Errorf("answer: %w", ErrSlow)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -159,6 +161,47 @@
 	}
 }
 
+func TestConnectFailuresOfThisMachineBlameNoEndpoint(t *testing.T) {
+	addr := timeoutNode(t)
+	for _, c := range []struct {
+		errno syscall.Errno
+		times int
+		want  balance.Result
+	}{
+		{syscall.ENETUNREACH, 2, balance.OK},
+		{syscall.EADDRNOTAVAIL, 2, balance.OK},
+		{syscall.ENOBUFS, 1000, balance.NotSent},
+		{syscall.ENFILE, 1000, balance.NotSent},
+		{syscall.ECONNREFUSED, 1, balance.ConnectFailed},
+		{syscall.EHOSTUNREACH, 1, balance.ConnectFailed},
+		{syscall.ETIMEDOUT, 1, balance.ConnectFailed},
+	} {
+		failures := 0
+		p := NewPool(Config{Connections: 10, ConnectTime: patience, KeepAlive: time.Hour,
+			Limits: func() Limits { return Limits{Head: 16 << 10, Body: maxBody} },
+			Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if failures++; failures <= c.times {
+					return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", c.errno)}
+				}
+				return new(net.Dialer).DialContext(ctx, network, addr)
+			}})
+		to := &Route{Addr: addr}
+		if got, _ := do(p, to, "POST", "body"); got != c.want {
+			t.Errorf("%v, %d times: %v, want %v", c.errno, c.times, got, c.want)
+		}
+		p.Release(to, false)
+	}
+}
+
+func TestBrokenConnectionIsNoTimeOut(t *testing.T) {
+	x := new(Exchange)
+	x.Begin(usualPool(), &Route{}, time.Now().Add(patience), request("GET", ""))
+	x.fail(true, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)})
+	if got := x.Result(); got != balance.Reset {
+		t.Errorf("%v, want a reset", got)
+	}
+}
+
 // Libraries repeat by themselves a request that fails on a reused connection, also
 // a POST with an Idempotency-Key. Each repeat must be the balancer's.
 func TestNoHiddenResend(t *testing.T) {
