Bound when a keyed request's further attempt may go out by its key's window

Cause: the window was looked at when an attempt was decided on, not when it went out; and it was counted from the attempt whose end was heard first, though another copy had been sent before it (balancer: mayFollow, learn). Change: Send carries BeginBy, the earliest attempt's sending plus the window less 0.15 s of hold-up; an exchange that has no connection by then is not sent. Class: a check far from the act it guards, as with X-Timeout. Checked for it: bodies that flow have replay.Gate at their last byte; drains bar what waits (Leave).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,7 +261,7 @@
 
 // The kinds of action, with the fields of [Action] that they use.
 const (
-	Send      ActionKind = iota // Request, Endpoint, Until
+	Send      ActionKind = iota // Request, Endpoint, Until, BeginBy
 	Cancel                      // Request, Attempt
 	Shed                        // Request, Delay: refused, a repeat is harmless
 	Fail                        // Request: failed, no promise
@@ -279,6 +279,7 @@
 	Endpoint EndpointID
 	Attempt  int
 	Until    time.Duration // when the attempt is abandoned
+	BeginBy  time.Duration // it must not go out later than this; 0 is no such bound
 	Delay    time.Duration
 	Timer    Timer
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -95,6 +95,9 @@
 	staleStep, staleGain, staleFor, staleMost = 100 * time.Millisecond, 0.3, 20.0, 0.1
 )
 
+// holdUp is how long a sidecar may be held up between reading its clock and writing.
+const holdUp = 150 * time.Millisecond
+
 // The timers of a Balancer: Ref is a request, ask discovery again, and look at the held requests again.
 const timerRequest, timerSubscribe, timerServe = 1, 2, 3
 
@@ -600,7 +603,7 @@
 			r.startBy = min(r.startBy, r.arrived+r.class.RetryWithin)
 		}
 		if r.ran != nil && r.class.Semantics == Keyed { // and once its key may be forgotten
-			r.startBy = min(r.startBy, r.ranAt+r.class.RepeatWindow)
+			r.startBy = min(r.startBy, followBy(r.class, r.ranAt))
 		}
 		b.wake(r, max(r.startBy, b.now+1))
 	}
@@ -953,13 +956,37 @@
 		return r.class.Semantics == Safe
 	}
 	scope := r.class.Scope
-	return b.now-sent < r.class.RepeatWindow && (scope == ScopeAll ||
+	return b.now < followBy(r.class, sent) && (scope == ScopeAll ||
 		scope == ScopeZone && first.Zone == e.Zone || scope == ScopeCell && first.Cell == e.Cell)
 }
 
+// followBy is the time before which a repeat of a keyed request must go out whose attempt was sent at a time.
+func followBy(c *Class, sent time.Duration) time.Duration {
+	return sent + c.RepeatWindow - min(holdUp, c.RepeatWindow/2)
+}
+
+// beginBy is the time before which the next attempt of a request must go out, which may be later than it is
+// decided on: a connection may have to come up. It is 0 where no other attempt may have run.
+func (b *Balancer) beginBy(r *request) time.Duration {
+	by := time.Duration(math.MaxInt64)
+	if r.class.Semantics == Keyed && r.ran != nil {
+		by = followBy(r.class, r.ranAt)
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.out && r.class.Semantics == Keyed {
+			by = min(by, followBy(r.class, a.sent))
+		}
+	}
+	if by == math.MaxInt64 {
+		return 0
+	}
+	return by
+}
+
 // send starts an attempt.
 func (b *Balancer) send(r *request, e *endpoint) {
 	b.unhold(r)
+	by := b.beginBy(r)
 	r.attempts = append(r.attempts, attempt{to: e, sent: b.now, out: true, idle: b.connect(e)})
 	r.out++
 	b.outs++
@@ -968,7 +995,7 @@
 	e.lastSent = b.now
 	b.rate = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/rateSpan) + 1/rateSpan
 	b.rateAt = b.now
-	b.act(Action{Kind: Send, Request: r.ID, Endpoint: e.ID, Until: r.useless})
+	b.act(Action{Kind: Send, Request: r.ID, Endpoint: e.ID, Until: r.useless, BeginBy: by})
 	if r.out > 1 {
 		b.hedges--
 	} else {
@@ -1069,8 +1096,11 @@
 			b.window = math.Max(math.Min(b.window, float64(b.outs+1))*windowCut, windowLeast)
 		}
 	}
-	if r.ran == nil && o.Result != Rejected && o.Result != ConnectFailed && o.Result != NotSent {
-		r.ran, r.ranAt = e, a.sent
+	if o.Result != Rejected && o.Result != ConnectFailed && o.Result != NotSent {
+		if r.ran == nil {
+			r.ran, r.ranAt = e, a.sent
+		}
+		r.ranAt = min(r.ranAt, a.sent) // the endpoints' memory is of whichever ran first
 	}
 	if b.report(e, o.Load, b.now); b.idle(e) {
 		b.idlers = append(b.idlers, e)
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -1458,3 +1458,27 @@
 		t.Errorf("%+v: it waits for nothing", f.acts)
 	}
 }
+
+func TestRepeatMustGoOutWhileItsKeyIsSurelyRemembered(t *testing.T) {
+	f := newFleet(t, config(), servers(4)...)
+	r, first := f.dispatch(1)
+	sent := f.now
+	f.now += 100 * ms
+	f.ended(r, 0, first, Reset, 100*ms)
+	for n := 0; len(f.find(Send)) == 0; n++ {
+		if n == 100 {
+			t.Fatal("it is not sent again")
+		}
+		for _, p := range f.find(Probe) {
+			f.now += ms
+			f.probed(p.Endpoint, 0)
+		}
+		if len(f.find(Send)) == 0 {
+			f.fireAll()
+		}
+	}
+	window := f.b.cfg.Classes[1].RepeatWindow
+	if got, want := f.find(Send)[0].BeginBy, sent+window-150*ms; got <= 0 || got > want {
+		t.Errorf("it may begin to go out until %v after the first attempt, want %v", got-sent, want-sent)
+	}
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -265,6 +265,9 @@
 		}
 		return appendRequest(b, c)
 	})
+	if a.BeginBy > 0 {
+		x.BeginBy(e.on(a.BeginBy))
+	}
 	if c.Flow != nil {
 		n := x.n
 		x.Upload(c.Flow, c.Size, func() bool { return c.gate.Last(n, e.now()) })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,6 +42,7 @@
 	until time.Time
 	out   *http1.Buffer // what is still to be written; nil once it has been
 	told  timeoutField  // within out
+	by    time.Time     // it must not begin to go out later than this; zero for no such bound
 	conn  *conn         // nil before there is one, and once it is over
 	fresh bool          // conn has carried nothing before
 	asked bool          // the request has begun to be written
@@ -96,18 +97,23 @@
 	x.head.Limits.Head = x.limits.Head
 	x.head.Reset()
 	x.out = p.bufs.Get()
-	x.told = timeoutField{}
+	x.told, x.by = timeoutField{}, time.Time{}
 	x.out.Compose(func(b []byte) []byte {
 		b, x.told.at = compose(b)
 		return b
 	})
 }
 
+// BeginBy bounds when the exchange may begin to go out. It is called between Begin and the first Run.
+func (x *Exchange) BeginBy(t time.Time) { x.by = t }
+
 // tellTimeout puts into the request how long the endpoint has from now on, which may be less than when
-// the request was composed: a connection may have been waited for. It tells whether there is any time.
+// the request was composed: a connection may have been waited for. It tells whether the request may still
+// go out.
 func (x *Exchange) tellTimeout() bool {
-	left := time.Until(x.last()).Microseconds()
-	if left <= 0 {
+	now := time.Now()
+	left := x.last().Sub(now).Microseconds()
+	if left <= 0 || !x.by.IsZero() && !now.Before(x.by) {
 		return false
 	}
 	if x.told.at > 0 {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -161,6 +161,20 @@
 	}
 }
 
+func TestRepeatIsNotSentOnceItsKeyMayBeForgotten(t *testing.T) {
+	const wait = 200 * time.Millisecond // for a connection
+	p, to := newPool(1, 5*time.Second, time.Hour), &Route{Addr: timeoutNode(t)}
+	defer p.Release(to, false)
+	x := new(Exchange)
+	x.Begin(p, to, time.Now().Add(patience), timedRequest("body"))
+	x.BeginBy(time.Now().Add(wait / 2))
+	p.slots <- struct{}{}
+	time.AfterFunc(wait, func() { <-p.slots })
+	if got, _ := carry(x); got != balance.NotSent {
+		t.Errorf("%v, want not sent", got)
+	}
+}
+
 func TestConnectFailuresOfThisMachineBlameNoEndpoint(t *testing.T) {
 	addr := timeoutNode(t)
 	for _, c := range []struct {
