Answer every request before the time at which the platform may kill a restarting sidecar

Cause: the bound of the shutdown was worked out from the longest deadline without the 3 s at which the platform stops counting, and at its end connections were closed with their requests unanswered (server.go: Shutdown). Result: TestRequestLongerThanTheKillIsAnsweredBeforeIt got the connection's end in place of an answer without the engine's bound, and gets 502 with it.

--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -14,7 +14,8 @@
 // Config is what a sidecar runs with: the platform's word, narrowed by the operators'.
 type Config struct {
 	*Platform
-	Settings *Settings
+	Settings   *Settings
+	Standalone bool // there is no platform, nor its SIGKILL
 }
 
 // The reserve of descriptors for the listener, discovery, the runtime, the log and the
@@ -96,14 +97,15 @@
 // more than the platform allows, the platform's word stands; that the file does so is for
 // internal/check to refuse. Without a platform, the file alone says all.
 func Merge(p *Platform, s *Settings) *Config {
-	if p == nil {
+	alone := p == nil
+	if alone {
 		p = standalone(s)
 	} else {
 		narrowed := *p
 		narrowed.Module.Classes = slices.Clone(p.Module.Classes)
 		p = &narrowed
 	}
-	c := &Config{Platform: p, Settings: s}
+	c := &Config{Platform: p, Settings: s, Standalone: alone}
 	c.narrowLimits()
 	for name, k := range s.Class {
 		if i, ok := p.Classes[name]; ok {
@@ -113,6 +115,19 @@
 	return c
 }
 
+// mostKillDeadline is the longest that a platform counts a deadline for as it sets when SIGKILL follows
+// SIGTERM.
+const mostKillDeadline = 3 * time.Second
+
+// ShutdownDeadline is how long a request that was taken before the end of the linger time may take at most
+// once SIGTERM has come.
+func (c *Config) ShutdownDeadline() time.Duration {
+	if c.Standalone {
+		return c.LongestDeadline()
+	}
+	return min(c.LongestDeadline(), mostKillDeadline)
+}
+
 // less is the smaller of two values of which zero means that nothing is said.
 func less[V cmp.Ordered](x, y V) V {
 	var none V
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -146,6 +146,10 @@
 		c.answered = true
 		return nil, true
 	}
+	if left := c.Until.Sub(e.endBy); !e.endBy.IsZero() && left > 0 {
+		c.Until = e.endBy
+		c.Budget -= left
+	}
 	c.attempts = c.few[:0]
 	c.last = e.epoch + c.Until.Sub(e.origin)
 	if c.Flow != nil {
@@ -192,6 +196,11 @@
 func (e *Engine) abandon(c *Call, why string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.abandonLocked(c, why)
+}
+
+// abandonLocked is abandon for a caller that holds the lock.
+func (e *Engine) abandonLocked(c *Call, why string) {
 	if c.answered {
 		return
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,7 @@
 	timers    timers
 	clock     *time.Timer
 	armed     time.Duration // what the clock is set for, 0 for nothing
+	endBy     time.Time     // by which every call is answered, zero for no such time
 }
 
 // endpoint is where an endpoint is reached.
@@ -95,6 +98,20 @@
 	})
 }
 
+// EndBy has every call that is open, or begins, answered by a time: one that is still open then has failed.
+func (e *Engine) EndBy(t time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endBy = t
+	time.AfterFunc(time.Until(t), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, c := range slices.Collect(maps.Values(e.calls)) {
+			e.abandonLocked(c, "the shutdown's time is up")
+		}
+	})
+}
+
 // now is the time on the module's clock.
 func (e *Engine) now() time.Duration { return e.epoch + time.Since(e.origin) }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -56,12 +56,17 @@
 // Serve serves one listener until Shutdown. Several may be served together.
 func (s *Server) Serve(l net.Listener) error { return s.door.Serve(l) }
 
-// Shutdown steers callers off, goes on accepting for a while, and returns when all
-// that was taken has its answer.
+// answerReserve is how long before the end of a shutdown the last requests get their answers.
+const answerReserve = 100 * time.Millisecond
+
+// Shutdown steers callers off, goes on accepting for a while, and returns when all that was taken has its
+// answer. Nothing is waited for beyond the time at which the platform may end the process.
 func (s *Server) Shutdown() {
 	end := s.engine.Settings().Shutdown
-	ctx, cancel := context.WithTimeout(context.Background(), end.Linger+s.cfg.LongestDeadline()+end.Spare)
+	most := end.Linger + s.cfg.ShutdownDeadline() + end.Spare
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
+	s.engine.EndBy(time.Now().Add(most - answerReserve))
 	if left := s.door.Shutdown(ctx, end.Linger); left > 0 { // a caller that sent no whole request is owed nothing
 		slog.Warn("shutdown: connections left", "connections", left)
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -483,6 +483,36 @@
 	}
 }
 
+func TestRequestLongerThanTheKillIsAnsweredBeforeIt(t *testing.T) {
+	began := make(chan struct{}, 1)
+	addr := standin.HTTP(t, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		began <- struct{}{}
+		<-r.Context().Done() // it hangs through the whole shutdown
+	})
+	c := standin.Config(t, standin.Up(addr))
+	for i := range c.Module.Classes {
+		c.Module.Classes[i].Deadline = patience
+		c.Module.Classes[i].Goal = patience
+	}
+	c.Settings.Shutdown.Linger = 0
+	p := start(t, c)
+	req := p.request("pay", "x")
+	caller := p.dial(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nX-Request-ID: hangs\r\nX-Priority-Class: pay\r\nX-Timeout: 19000m\r\nContent-Length: 1\r\n\r\nx",
+		req.URL.RequestURI()))
+	wait(t, began, "attempt")
+	stopped := make(chan struct{})
+	go func() {
+		p.server.Shutdown()
+		close(stopped)
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil || resp.StatusCode != http.StatusBadGateway || !resp.Close {
+		t.Errorf("%+v %v, want 502 and a close", resp, err)
+	}
+	wait(t, stopped, "shutdown")
+}
+
 // Idle callers must not keep a new one out.
 func TestIdleCallersGiveWay(t *testing.T) {
 	addr := standin.HTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
