Keep a new connection for the eviction grace, so that its first request can come

Callers saw: with the connections' places full, a connection closed in the moment after it was made, its first request on the way. Cause: the timer that looks for room once more named no newest connection, so that a silent one gave way whatever its age (places.go: victim).

--- a/internal/door/places.go
+++ b/internal/door/places.go
@@ -64,20 +64,17 @@
 // silent and idle callers would fill all.
 func (p *places) full() bool { return p.open >= p.most }
 
-// victim returns the connection that is the least loss: the one that has been silent for
-// longest, else idle, else with part of a request for at least grace; never one whose request
-// has been taken, nor the newest unless that is idle. Nor one of the first two on which
-// something has come that nobody has read yet, as quiet tells. It is nil if there is none.
+// victim returns the connection that is the least loss: the one that has been silent for longest, else
+// idle, else with part of a request; the first and the last only after grace, as their requests may be on
+// their way. It is never one whose request has been taken, nor the newest unless that is idle, nor one of
+// the first two on which something has come that nobody has read yet, as quiet tells. It is nil if there
+// is none.
 func (p *places) victim(newest *guest, now time.Time, grace time.Duration, quiet func(*guest) bool) *guest {
-	for _, at := range []stage{silent, idle} {
+	for _, at := range []stage{silent, idle, partial} {
 		for g := p.lists[at].front; g != nil; g = g.next {
-			if (g != newest || at == idle) && quiet(g) {
-				return g
+			if at != idle && (g == newest || now.Sub(g.since) < grace) || at != partial && !quiet(g) {
+				continue
 			}
-		}
-	}
-	for g := p.lists[partial].front; g != nil && now.Sub(g.since) >= grace; g = g.next {
-		if g != newest {
 			return g
 		}
 	}
