Take requests in chunks that fit into max_body, held whole like others

Cause: the sidecar took chunks only with [streams], which the platform leaves off. Change: the door reads a body in chunks whole, up to callers.max_body, by the parser that streams use; it goes on with a length.

--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -105,7 +105,7 @@
 		return d.flows(c, n)
 	}
 	if c.head.Framing() == http1.Chunked {
-		return d.refuse(c, &Refusal{Status: 411, Why: "Transfer-Encoding: not taken, send a Content-Length"})
+		return d.chunked(c, n)
 	}
 	whole := n + int(max(c.head.ContentLength(), 0))
 	if c.buf.Len() < whole {
@@ -162,6 +162,22 @@
 
 // body waits for the rest of a request.
 func (d *Door) body(c *conn, whole int) error {
+	if err := d.expectBody(c); err != nil {
+		return err
+	}
+	for c.buf.Len() < whole {
+		if err := d.fill(c); err != nil {
+			return d.cutOff(c, err, errBodyLate)
+		}
+	}
+	return nil
+}
+
+// errBodyLate answers a request whose body is not whole when its time is up.
+var errBodyLate = &Refusal{Status: 400, Why: "body: it did not come whole in time"}
+
+// expectBody has a body waited for, for which the caller may be waiting to be told.
+func (d *Door) expectBody(c *conn) error {
 	d.reached(c, partial, time.Now())
 	times := d.cfg.Times()
 	if c.head.ExpectsContinue() {
@@ -170,12 +186,46 @@
 		}
 	}
 	d.allow(c, time.Now().Add(times.Body))
-	for c.buf.Len() < whole {
+	return nil
+}
+
+// chunked has a request answered whose body comes in chunks and is held whole.
+func (d *Door) chunked(c *conn, headLen int) error {
+	d.detachHead(c, headLen)
+	parts := http1.Chunks{Limits: http1.DefaultLimits}
+	var body []byte
+	for waited := false; ; {
+		data, n, err := parts.Next(c.buf.Bytes())
+		if err != nil {
+			return d.refuse(c, refusal(err))
+		}
+		if len(body)+len(data) > d.cfg.MaxBody() {
+			return d.refuse(c, &Refusal{Status: 413, Why: "body: it is too long"})
+		}
+		body = append(body, data...)
+		c.buf.Skip(n)
+		switch {
+		case parts.Done():
+			d.reached(c, taken, c.read)
+			return d.answer(c, body, 0)
+		case n > 0:
+			continue
+		case !waited:
+			waited = true
+			if err := d.expectBody(c); err != nil {
+				return err
+			}
+		}
 		if err := d.fill(c); err != nil {
-			return d.cutOff(c, err, &Refusal{Status: 400, Why: "body: it did not come whole in time"})
+			return d.cutOff(c, err, errBodyLate)
 		}
 	}
-	return nil
+}
+
+// detachHead keeps the head of a request apart, so that its buffer can be read on into.
+func (d *Door) detachHead(c *conn, headLen int) {
+	c.head.Moved(append([]byte(nil), c.buf.Bytes()[:headLen]...))
+	c.buf.Skip(headLen)
 }
 
 // cutOff ends a connection on which part of a request has come. One that gives way to another ends at
@@ -257,6 +307,7 @@
 	c.whole, c.owed = whole, true
 	d.cfg.Handler.Serve(x)
 	if c.hijacked {
+		c.owed = false
 		x.end()
 		return errHijacked
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -64,8 +64,9 @@
 // Config says how a door is kept.
 type Config struct {
 	Handler Handler
-	Places  int // connections that may be open
-	MaxHead int // bytes of a request's head
+	Places  int        // connections that may be open
+	MaxHead int        // bytes of a request's head
+	MaxBody func() int // bytes of a body that comes in chunks and is held whole
 	Times   func() Times
 }
 
--- a/internal/door/flow.go
+++ b/internal/door/flow.go
@@ -221,10 +221,7 @@
 
 // flows has a request answered whose body is still arriving.
 func (d *Door) flows(c *conn, head int) error {
-	// The head is kept apart: its buffer is read on into.
-	text := append([]byte(nil), c.buf.Bytes()[:head]...)
-	c.head.Moved(text)
-	c.buf.Skip(head)
+	d.detachHead(c, head)
 	d.reached(c, taken, c.read)
 	x := &c.x
 	x.begin(nil)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -45,6 +45,7 @@
 	var err error
 	s.door, err = door.New(door.Config{
 		Handler: front{s}, Places: c.CallerConnections(), MaxHead: int(c.Settings.Callers.MaxHead),
+		MaxBody: func() int { return int(s.engine.Settings().Callers.MaxBody) },
 		Times: func() door.Times {
 			k := &s.engine.Settings().Callers
 			return door.Times{Head: k.HeadTime, Body: k.BodyTime, Idle: k.IdleTime, Write: k.WriteTime, Grace: k.EvictionGrace}
@@ -105,8 +106,6 @@
 		(r.Framing() == http1.Chunked && set.Streams.Chunks() || n > int64(set.Callers.MaxBody) && n <= int64(set.Streams.MaxBody))
 	switch {
 	case x.Flows:
-	case r.Framing() == http1.Chunked:
-		return &door.Refusal{Status: http.StatusLengthRequired, Why: "Transfer-Encoding: not taken, send a Content-Length"}
 	case n > int64(set.Callers.MaxBody):
 		return &door.Refusal{Status: http.StatusRequestEntityTooLarge, Why: fmt.Sprintf("body: %d bytes are too many", n)}
 	case health(r):
