Give slowly written requests what is left of their time, counted from the last byte

Cause: the body's time began anew and short whatever of the head's was left, and a request's time was counted from its first byte (conn.go: body; Exchange.Came). Change: a body has body_time beyond what is left of head_time, since its request began or its new connection was opened, so 2.7 s in all as before; a late head on a new connection no longer has 2 s more. A request that took several reads counts from the last. Result: TestSlowlyWritten... got 400 before and passes; TestTimes is as it was.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -54,7 +54,7 @@
 	AlsoListen    []string      `key:"also_listen" kind:"address" reload:"restart" doc:"Further addresses on which callers are served. A platform that gives a sidecar one address needs none."`
 	Connections   int           `key:"connections" min:"0" max:"1000000" default:"0" reload:"restart" unset:"a third of the descriptors" doc:"How many connections callers may have open, 0 for a third of the descriptors."`
 	HeadTime      time.Duration `key:"head_time" default:"2s" min:"50ms" max:"1m" reload:"restart" doc:"How long a caller may take over a request's header, and before its first."`
-	BodyTime      time.Duration `key:"body_time" default:"700ms" min:"10ms" max:"1m" reload:"live" doc:"How long a caller may take over a request's body."`
+	BodyTime      time.Duration `key:"body_time" default:"700ms" min:"10ms" max:"1m" reload:"live" doc:"How long a caller may take over a request's body, beyond what is left of head_time."`
 	WriteTime     time.Duration `key:"write_time" default:"5s" min:"100ms" max:"5m" reload:"live" doc:"How long a caller may take to read an answer."`
 	IdleTime      time.Duration `key:"idle_time" default:"5s" min:"100ms" max:"1h" reload:"restart" doc:"How long a caller's connection may stand idle between requests."`
 	EvictionGrace time.Duration `key:"eviction_grace" default:"100ms" min:"1ms" max:"10s" reload:"live" doc:"How long a connection on which part of a request has come is kept even where its place is wanted."`
--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -93,6 +93,7 @@
 		}
 		c.arrived = c.read
 	}
+	c.first = c.arrived
 	n, err := d.head(c)
 	if err != nil {
 		return err
@@ -147,11 +148,13 @@
 	for began := false; n == 0 && err == nil; began = true {
 		if !began {
 			d.reached(c, partial, time.Now())
-			d.allow(c, c.read.Add(d.cfg.Times().Head))
+			times := d.cfg.Times()
+			d.allow(c, later(c.began().Add(times.Head), c.read.Add(times.Body)))
 		}
 		if err := d.fill(c); err != nil {
 			return 0, d.cutOff(c, err, nil)
 		}
+		c.arrived = c.read
 		n, err = c.head.Parse(c.buf.Bytes())
 	}
 	if err != nil {
@@ -169,6 +172,7 @@
 		if err := d.fill(c); err != nil {
 			return d.cutOff(c, err, errBodyLate)
 		}
+		c.arrived = c.read
 	}
 	return nil
 }
@@ -185,10 +189,26 @@
 			return err
 		}
 	}
-	d.allow(c, time.Now().Add(times.Body))
+	d.allow(c, later(c.began().Add(times.Head+times.Body), time.Now().Add(times.Body)))
 	return nil
 }
 
+// began is when the time of the request at hand began: on a new connection when that was opened.
+func (c *conn) began() time.Time {
+	if c.answered == 0 {
+		return c.opened
+	}
+	return c.first
+}
+
+// later is the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // chunked has a request answered whose body comes in chunks and is held whole.
 func (d *Door) chunked(c *conn, headLen int) error {
 	d.detachHead(c, headLen)
@@ -219,6 +239,7 @@
 		if err := d.fill(c); err != nil {
 			return d.cutOff(c, err, errBodyLate)
 		}
+		c.arrived = c.read
 	}
 }
 
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -55,7 +55,7 @@
 // Times are what a caller may take. They may change while the door is open.
 type Times struct {
 	Head  time.Duration // from a request's first byte, or a connection's begin, to its head's end
-	Body  time.Duration // for the body
+	Body  time.Duration // for the body, beyond what is left of Head
 	Idle  time.Duration // between two requests
 	Write time.Duration // to take an answer
 	Grace time.Duration // for which part of a request is safe from giving way
@@ -104,7 +104,8 @@
 
 	head    *http1.Request
 	buf     *http1.Buffer // nil while there is nothing in it
-	arrived time.Time     // when the first byte of the request came
+	first   time.Time     // when the first byte of the request came
+	arrived time.Time     // when its last byte came, or the first of one that flows
 	read    time.Time     // the last time that something came
 	since   time.Time     // of the last answer, or of its begin
 	whole   int           // bytes of the request that is being answered
--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -29,8 +29,8 @@
 // Head is the request's head.
 func (x *Exchange) Head() *http1.Request { return x.c.head }
 
-// Came is when the request's first byte came. One that was sent ahead of the answer to the one
-// before has waited for that, all of which its caller counts.
+// Came is when the request's last byte came, from which its caller counts, or the first of one that flows. One
+// that was sent ahead of the answer to the one before has waited for that, all of which its caller counts.
 func (x *Exchange) Came() time.Time { return x.c.arrived }
 
 func (x *Exchange) begin(body []byte) {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -323,6 +323,27 @@
 	}
 }
 
+func TestSlowlyWrittenRequestIsTakenAndItsTimeCountsFromItsLastByte(t *testing.T) {
+	const slow = time.Second // more than body_time, within head_time
+	told := make(chan time.Duration, 1)
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		timeout, _ := parseTimeout([]byte(r.Header.Get("X-Timeout")))
+		told <- timeout
+		io.Copy(w, r.Body)
+	})
+	p := start(t, standin.Config(t, standin.Up(addr)))
+	c := p.dial("POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: slow\r\nX-Priority-Class: book\r\nIdempotency-Key: k\r\nX-Timeout: 1500m\r\nContent-Length: 4\r\n\r\nta")
+	time.Sleep(slow)
+	io.WriteString(c, "nk")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	if got := <-told; got <= 1500*time.Millisecond-slow || got > 1500*time.Millisecond {
+		t.Errorf("the endpoint has %v", got)
+	}
+}
+
 // A request whose end can be read in two ways may hide another: neither is passed on.
 func TestHiddenRequest(t *testing.T) {
 	addr := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
