Keep slow start right where the wall clock was stepped

Endpoints would see: an endpoint that has just started sent a warm one's share, where the sidecar's wall clock was an hour ahead as it began; one spared for an hour, where it was behind. Cause: the module's clock begins at Unix time and goes on without steps, and the start times in lists were compared with it as they were (engine: update, names). Change: a start never lies ahead; one that is news lies no further back than the last answer of discovery, less 5 s for the list's delay. The same start told again is the same. A first list, with nothing to hold it against, is taken as told. Class: wall-clock time compared with real time. Checked for it: deadlines, windows, waits and timers are all of Go's monotonic clock; Date fields are the only other use. Not covered: a clock that is an hour ahead where discovery is asked by long polls, whose last answer may be 20 s old.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -43,19 +43,23 @@
 	timers    timers
 	clock     *time.Timer
 	armed     time.Duration // what the clock is set for, 0 for nothing
-	endBy     time.Time     // by which every call is answered, zero for no such time
+	starts    starts
+	endBy     time.Time // by which every call is answered, zero for no such time
 }
 
 // endpoint is where an endpoint is reached.
 type endpoint struct {
 	route   *upstream.Route
 	name    string
-	started time.Duration
-	closed  bool // its route keeps no connections
-	left    bool // it drains or is gone
-	gone    bool
-	uses    int // attempts and probes that are out
-	out     []*attempt
+	started time.Duration // on the module's clock, 0 for long ago
+
+	// reported is what lists tell of that, in Unix time.
+	reported time.Duration
+	closed   bool // its route keeps no connections
+	left     bool // it drains or is gone
+	gone     bool
+	uses     int // attempts and probes that are out
+	out      []*attempt
 }
 
 // New returns an Engine that knows the list in its configuration.
@@ -249,6 +253,13 @@
 	e.update(kind, l)
 }
 
+// Heard notes that discovery has answered, also where it had no news.
+func (e *Engine) Heard() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts.heard = e.now()
+}
+
 // Refused tells the balancer that a call to discovery has failed.
 func (e *Engine) Refused() { e.update(balance.ListRefused, &discovery.List{}) }
 
@@ -262,13 +273,17 @@
 	}
 	entries := e.names.entries(l)
 	list := make([]balance.Endpoint, len(entries))
+	now := e.now()
 	for i, in := range entries {
-		list[i] = in.Endpoint
 		to := e.endpoints[in.ID]
+		reported := in.Started
+		in.Started = e.starts.of(reported, now, to)
+		list[i] = in.Endpoint
 		if to == nil {
 			to = &endpoint{name: in.name, route: &upstream.Route{Addr: in.addr}, started: in.Started}
 			e.endpoints[in.ID] = to
 		}
+		to.reported = reported
 		// Connections to the old address or process are of no more use; one to a machine
 		// that vanished may stay open and silent, and the next request on it would be lost.
 		addr := cmp.Or(in.addr, to.route.Addr)
--- /dev/null
+++ b/internal/engine/starts_test.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"barleydrum.example/barleydrum/internal/discovery"
+)
+
+func TestSteppedWallClockNeitherEndsNorProlongsSlowStart(t *testing.T) {
+	for name, step := range map[string]time.Duration{
+		"no step": 0, "an hour ahead": time.Hour, "an hour behind": -time.Hour, "seconds behind": -5 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(t, discovery.List{Generation: 1, Reset: true})
+			e.Heard()
+			// The list's clock is right, and the sidecar's own was off by the step as it started.
+			started := time.Now().Add(-step)
+			list := discovery.List{Generation: 2, Instances: []discovery.Instance{
+				{ID: "new", HostPort: "127.0.0.1:1", Lifecycle: "up", StartedMS: started.UnixMilli()},
+			}}
+			e.List(&list)
+			e.mu.Lock()
+			first := e.endpoints[e.names.ids["new"]].started
+			age := e.now() - first
+			e.mu.Unlock()
+			if age < 0 || age > listDelay+time.Second {
+				t.Errorf("it is held to have started %v ago", age)
+			}
+			time.Sleep(2 * time.Millisecond)
+			e.List(&list) // the same again is the same process
+			e.mu.Lock()
+			again := e.endpoints[e.names.ids["new"]].started
+			e.mu.Unlock()
+			if again != first {
+				t.Errorf("told again, it has started %v later", again-first)
+			}
+		})
+	}
+}
+
+func TestStartBeforeTheSidecarsOwnIsTakenAsTold(t *testing.T) {
+	e := newEngine(t, discovery.List{Generation: 1, Reset: true})
+	told := time.Now().Add(-time.Minute)
+	e.List(&discovery.List{Generation: 2, Reset: true, Instances: []discovery.Instance{
+		{ID: "old", HostPort: "127.0.0.1:1", Lifecycle: "up", StartedMS: told.UnixMilli()},
+	}})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if age := e.now() - e.endpoints[e.names.ids["old"]].started; age < 59*time.Second || age > 61*time.Second {
+		t.Errorf("it is held to have started %v ago, want a minute", age)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -134,6 +134,7 @@
 		if d.asks || l.Reset || len(l.Instances) > 0 {
 			d.engine.List(l)
 		}
+		d.engine.Heard()
 		pause(ctx, d.gap-time.Since(asked))
 	}
 }
