Count a request that came ahead from the earliest time at which it may have come

Endpoints saw: an X-Timeout of up to 0.52 s more than the client had left, for the requests behind the first of several that are sent together (pieces, pipelining). Change: a read that may find bytes which came ahead counts from the read before, and what is left in the buffer keeps that time; other reads count from their own. Class: a time of arrival taken from when something was read.

--- a/internal/door/conn.go
+++ b/internal/door/conn.go
@@ -91,7 +91,7 @@
 		if err := d.rest(c); err != nil {
 			return err
 		}
-		c.arrived = c.read
+		c.arrived = c.came
 	}
 	c.first = c.arrived
 	n, err := d.head(c)
@@ -154,7 +154,7 @@
 		if err := d.fill(c); err != nil {
 			return 0, d.cutOff(c, err, nil)
 		}
-		c.arrived = c.read
+		c.arrived = c.came
 		n, err = c.head.Parse(c.buf.Bytes())
 	}
 	if err != nil {
@@ -172,7 +172,7 @@
 		if err := d.fill(c); err != nil {
 			return d.cutOff(c, err, errBodyLate)
 		}
-		c.arrived = c.read
+		c.arrived = c.came
 	}
 	return nil
 }
@@ -239,7 +239,7 @@
 		if err := d.fill(c); err != nil {
 			return d.cutOff(c, err, errBodyLate)
 		}
-		c.arrived = c.read
+		c.arrived = c.came
 	}
 }
 
@@ -267,10 +267,15 @@
 func (d *Door) fill(c *conn) error {
 	b, err := c.Fill(c.buf)
 	c.buf = b
-	if err == nil {
-		c.read = time.Now()
+	if err != nil {
+		return err
 	}
-	return err
+	c.came = c.read
+	c.read = time.Now()
+	if !c.ahead { // else it may have lain there since the read before
+		c.came = c.read
+	}
+	return nil
 }
 
 // refusal is the answer to a head that can't be read.
@@ -369,18 +374,19 @@
 
 // ready makes a connection ready for the next request, part of which may have come ahead.
 func (d *Door) ready(c *conn, ahead bool) error {
-	if c.arrived = c.read; c.buf.Len() > 0 {
-		return nil // the next request came with this one
+	c.ahead = ahead || c.buf.Len() > 0
+	if c.buf.Len() > 0 { // the next request came with this one
+		c.arrived = c.came
+		return nil
 	}
 	d.bufs.Put(c.buf)
 	c.buf = nil
 	if ahead {
 		c.SetReadDeadline(time.Now().Add(d.cfg.Times().Head))
-		came := c.arrived
 		if err := d.fill(c); err != nil {
 			return err
 		}
-		c.arrived = came
+		c.arrived = c.came
 		return nil
 	}
 	d.reached(c, idle, c.since)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -105,8 +105,10 @@
 	head    *http1.Request
 	buf     *http1.Buffer // nil while there is nothing in it
 	first   time.Time     // when the first byte of the request came
-	arrived time.Time     // when its last byte came, or the first of one that flows
-	read    time.Time     // the last time that something came
+	arrived time.Time     // the earliest at which its last byte may have come, or the first of one that flows
+	ahead   bool          // it began to come ahead of the answer to the one before
+	read    time.Time     // the last time that something was read
+	came    time.Time     // the earliest at which that may have come
 	since   time.Time     // of the last answer, or of its begin
 	whole   int           // bytes of the request that is being answered
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -344,6 +344,40 @@
 	}
 }
 
+func TestRequestThatBeganAheadIsToldNoMoreThanItsCallerHasLeft(t *testing.T) {
+	const timeout, hold = 1500 * time.Millisecond, 500 * time.Millisecond
+	told := make(chan time.Duration, 2)
+	began := make(chan struct{}, 2)
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		d, _ := parseTimeout([]byte(r.Header.Get("X-Timeout")))
+		told <- d
+		began <- struct{}{}
+		if r.Header.Get("X-Request-ID") == "first" {
+			time.Sleep(hold)
+		}
+	})
+	p := start(t, standin.Config(t, standin.Up(addr)))
+	text := func(id string) string {
+		return fmt.Sprintf("POST /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: %s\r\nX-Priority-Class: book\r\nIdempotency-Key: %s\r\nX-Timeout: %dm\r\nContent-Length: 4\r\n\r\ntank",
+			id, id, timeout.Milliseconds())
+	}
+	second := text("second")
+	c := p.dial(text("first") + second[:20])
+	wait(t, began, "first request")
+	io.WriteString(c, second[20:])
+	sent := time.Now()
+	in := bufio.NewReader(c)
+	for range 2 {
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+	}
+	<-told
+	if got, left := <-told, timeout-time.Since(sent); got > left+150*time.Millisecond {
+		t.Errorf("the endpoint was told %v, with %v left", got, left)
+	}
+}
+
 // A request whose end can be read in two ways may hide another: neither is passed on.
 func TestHiddenRequest(t *testing.T) {
 	addr := standin.HTTP(t, func(http.ResponseWriter, *http.Request) { t.Error("it reached an endpoint") })
