Look whether the caller has gone right before each attempt's first byte

Endpoints saw: an attempt that began more than 0.1 s after its client had left: it had sent its request and gone while its connection waited to be accepted (a crowd held all places), or while the sidecar was held up. Cause: that a caller has gone is told by another goroutine, a moment after the request has been read; nothing asked at the act itself. Change: an exchange asks before its first byte, by poll(2) on the caller's connection; a caller that has gone ends the request. It holds for first, further and hedged attempts, and after a wait for a connection. Class: a check far from the act it guards, as with X-Timeout and the repeat window.

--- a/internal/door/exchange.go
+++ b/internal/door/exchange.go
@@ -62,6 +62,10 @@
 	return !x.c.gone
 }
 
+// Gone tells whether the caller has gone, which it looks for itself: Watch tells it a moment later. It may be
+// called by any goroutine, also after Serve has returned.
+func (x *Exchange) Gone() bool { return x.c.PeerGone() }
+
 // Unwatch ends Watch: l is told nothing from then on.
 func (x *Exchange) Unwatch() {
 	x.d.mu.Lock()
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -23,6 +23,9 @@
 	Size  int64      // of Flow, -1 where it is not known
 	Until time.Time  // its caller's time is up
 
+	// CallerGone tells whether the caller has gone, nil where it can't be asked. Any goroutine may call it.
+	CallerGone func() bool
+
 	engine *Engine
 	last   time.Duration // Until on the module's clock
 
@@ -95,13 +98,22 @@
 	default:
 	}
 	c.Request, c.Name, c.Head, c.Body, c.Until = balance.Request{}, "", nil, nil, time.Time{}
-	c.Flow, c.Size, c.flowing = nil, 0, nil
+	c.Flow, c.Size, c.flowing, c.CallerGone = nil, 0, nil, nil
 	c.engine, c.answered, c.final, c.next, c.inline, c.waiting = nil, false, Final{}, nil, nil, false
 	c.attempts, c.few = nil, [2]*attempt{}
 	c.first.call, c.first.endpoint = nil, nil
 	e.spent.Put(c)
 }
 
+// callerGone is asked right before an attempt goes out.
+func (c *Call) callerGone() bool {
+	if !c.CallerGone() {
+		return false
+	}
+	c.Leave()
+	return true
+}
+
 // Leave tells the engine that the caller has gone, see door.Leaver.
 func (c *Call) Leave() { c.engine.abandon(c, "the caller has gone") }
 
@@ -274,6 +286,9 @@
 		}
 		return appendRequest(b, c)
 	})
+	if c.CallerGone != nil {
+		x.Unless(c.callerGone)
+	}
 	if a.BeginBy > 0 {
 		x.BeginBy(e.on(a.BeginBy))
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -138,7 +138,7 @@
 		return
 	}
 	defer s.closed(c.Name)
-	c.Head, c.Body = x.Head(), x.Body
+	c.Head, c.Body, c.CallerGone = x.Head(), x.Body, x.Gone
 	margin := min(s.engine.Settings().Callers.AnswerMargin, c.Budget/10)
 	c.Until = x.Came().Add(c.Budget - margin)
 	c.Budget -= 2*margin + time.Since(x.Came())
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -414,6 +414,48 @@
 	}
 }
 
+func TestRequestOfACallerThatLeftBeforeItWasAcceptedIsNotSentOn(t *testing.T) {
+	var arrived atomic.Int32
+	addr := standin.HTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-ID") != "" && r.URL.Path != "/load" {
+			arrived.Add(1)
+		}
+	})
+	c := standin.Config(t, standin.Up(addr))
+	e, err := engine.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer(c, e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const callers = 20
+	for i := range callers {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(caller, "GET /api/a HTTP/1.1\r\nHost: a\r\nX-Request-ID: r-%d\r\nX-Priority-Class: read\r\n\r\n", i)
+		caller.Close()
+	}
+	go s.Serve(l)
+	resp, err := http.Get("http://" + l.Addr().String() + "/healthz") // which is accepted after them
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	s.Shutdown() // which waits for all
+	if n := arrived.Load(); n > 0 {
+		t.Errorf("%d of %d were sent on", n, callers)
+	}
+}
+
 // A client that has gone is owed nothing: its attempt's connection is closed.
 func TestClientGone(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -189,6 +189,24 @@
 	s.quiet.Store(err == syscall.EAGAIN)
 }
 
+// PeerGone tells whether the peer has ended its sending or reset, or the connection is closed here. It does
+// not wait, and may be called by any goroutine.
+func (s *Conn) PeerGone() bool {
+	gone := false
+	err := s.raw.Control(func(fd uintptr) {
+		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		for {
+			_, err := unix.Poll(fds[:], 0)
+			if err == unix.EINTR {
+				continue
+			}
+			gone = err == nil && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+			return
+		}
+	})
+	return err != nil || gone
+}
+
 // WriteAll writes texts, as far as the write deadline lets it, and takes what has been written off
 // them. Several go out together.
 func (s *Conn) WriteAll(texts *net.Buffers) (int64, error) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,6 +43,7 @@
 	out   *http1.Buffer // what is still to be written; nil once it has been
 	told  timeoutField  // within out
 	by    time.Time     // it must not begin to go out later than this; zero for no such bound
+	gone  func() bool   // whether whoever asked has gone; nil for who does not go
 	conn  *conn         // nil before there is one, and once it is over
 	fresh bool          // conn has carried nothing before
 	asked bool          // the request has begun to be written
@@ -97,7 +98,7 @@
 	x.head.Limits.Head = x.limits.Head
 	x.head.Reset()
 	x.out = p.bufs.Get()
-	x.told, x.by = timeoutField{}, time.Time{}
+	x.told, x.by, x.gone = timeoutField{}, time.Time{}, nil
 	x.out.Compose(func(b []byte) []byte {
 		b, x.told.at = compose(b)
 		return b
@@ -107,6 +108,18 @@
 // BeginBy bounds when the exchange may begin to go out. It is called between Begin and the first Run.
 func (x *Exchange) BeginBy(t time.Time) { x.by = t }
 
+// Unless has the exchange not go out once gone tells that whoever asked has gone. It is asked right before the
+// first byte, without a lock. It is called between Begin and the first Run.
+func (x *Exchange) Unless(gone func() bool) { x.gone = gone }
+
+// mayGoOut tells whether the request may still begin to go out, and tells the endpoint its time.
+func (x *Exchange) mayGoOut() bool {
+	if x.gone != nil && x.gone() {
+		return false
+	}
+	return x.tellTimeout()
+}
+
 // tellTimeout puts into the request how long the endpoint has from now on, which may be less than when
 // the request was composed: a connection may have been waited for. It tells whether the request may still
 // go out.
@@ -177,7 +190,7 @@
 		x.fail(false, ErrLeft)
 		return Over
 	}
-	if x.out != nil && !x.asked && !x.tellTimeout() {
+	if x.out != nil && !x.asked && !x.mayGoOut() {
 		x.unbind()
 		x.pool.put(x.conn) // nothing has been written on it
 		x.conn = nil
