--- a/review/stand/late-copy/main.go
+++ b/review/stand/late-copy/main.go
@@ -21,11 +21,11 @@
 	endpoints = 3
 	perSecond = 40.0 // requests a second at each sidecar, in the mean
 	clients   = 30   // at each sidecar
-	runFor    = 45 * time.Second
+	runFor    = 75 * time.Second
 	workMS    = 60 // mean time of a request at an endpoint
 
 	oneWay    = 250 * time.Microsecond // from a sidecar's machine to an endpoint's: [net] same_ms = [0.1, 0.33]
-	copyShare = 0.15
+	copyShare = 0.1
 	latest    = 4 * time.Millisecond // of a copy, after its answer
 )
 
