--- a/review/stand-2/copy.go
+++ b/review/stand-2/copy.go
@@ -19,24 +19,44 @@
 		callers  = 24
 		calls    = 3 // one after another
 		pause    = 600 * time.Millisecond
-		loadTime = 25 * time.Second
+		loadTime = 60 * time.Second
+		oneWay   = 300 * time.Microsecond // between the sidecar and an endpoint
 	)
 	var copies sync.WaitGroup
 	d := r.newDiscovery(listen())
 	for i := range 2 {
 		n := &node{entry: entry{ID: fmt.Sprintf("s-%d", i), HostPort: freePort(), Zone: "zone-1", Kind: "std", Lifecycle: "up", Weight: 16}}
 		n.load = func() string { return "TEXT inflight=1" }
+		var mu sync.Mutex
+		waits := make(map[net.Conn]bool) // connections on which a request has arrived and is not answered
+		n.begin = func(c net.Conn) {
+			time.Sleep(oneWay)
+			mu.Lock()
+			defer mu.Unlock()
+			waits[c] = true
+		}
 		n.serve = func(c net.Conn, q *request) {
 			id := q.header["x-request-id"]
 			time.Sleep(20*time.Millisecond + time.Duration(rand.IntN(4000))*time.Microsecond)
 			text := answerText(200, "answer to "+id)
 			r.logf("request %s answered by %s on %s", id, n.ID, c.RemoteAddr())
+			mu.Lock()
+			waits[c] = false
+			mu.Unlock()
+			time.Sleep(oneWay)
 			io.WriteString(c, text)
 			if r.trouble && rand.IntN(10) == 0 {
-				delay := 3*time.Millisecond + time.Duration(rand.IntN(5000))*time.Microsecond
+				delay := 2*time.Millisecond + time.Duration(rand.IntN(6000))*time.Microsecond
 				copies.Go(func() {
 					time.Sleep(delay)
+					mu.Lock()
+					other := waits[c]
+					mu.Unlock()
+					if other {
+						return
+					}
 					r.logf("request %s answered a second time by %s on %s", id, n.ID, c.RemoteAddr())
+					time.Sleep(oneWay)
 					io.WriteString(c, text)
 				})
 			}
--- a/review/stand-2/kit.go
+++ b/review/stand-2/kit.go
@@ -37,6 +37,8 @@
 	temp    string
 	start   time.Time
 
+	memoryMB int // the sidecar's limit
+
 	mu     sync.Mutex
 	record []string
 	broken []string
@@ -83,7 +85,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCantRun)
 	}
-	r := &run{trouble: os.Getenv("TROUBLE") != "0", root: root, start: time.Now()}
+	r := &run{trouble: os.Getenv("TROUBLE") != "0", root: root, start: time.Now(), memoryMB: 192}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
@@ -210,7 +212,7 @@
 	s := &sidecar{addr: freePort(), exited: make(chan struct{})}
 	config, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": s.addr, "discovery": discovery, "seed": fmt.Sprintf("%016x", rand.Uint64()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": r.memoryMB, "sockets": 1024},
 		"known":  known, "settings": settings,
 	})
 	must(err)
@@ -270,6 +272,7 @@
 	entry
 	serve func(c net.Conn, q *request) // writes the answer to a request
 	load  func() string                // the load report
+	begin func(c net.Conn)             // called when the first byte of a request has arrived; nil for nothing to do
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -334,6 +337,12 @@
 	}()
 	reader := bufio.NewReader(c)
 	for {
+		if _, err := reader.Peek(1); err != nil {
+			return
+		}
+		if n.begin != nil {
+			n.begin(c)
+		}
 		q, err := readRequest(reader)
 		if err != nil {
 			return
@@ -351,9 +360,6 @@
 
 // readRequest reads one request with its body.
 func readRequest(reader *bufio.Reader) (*request, error) {
-	if _, err := reader.Peek(1); err != nil {
-		return nil, err
-	}
 	q := &request{firstByteAt: time.Now(), header: make(map[string]string)}
 	line, err := reader.ReadString('\n')
 	if err != nil {
@@ -511,8 +517,6 @@
 	silent     bool
 	calls      int
 	onCall     func(wait time.Duration) // called for each call that may wait
-	crowded    bool                     // calls that wait are not told of changes, and end with 503
-	crowdDelay time.Duration            // how long after the end of their wait
 	listener   net.Listener
 }
 
@@ -591,7 +595,7 @@
 	if onCall != nil && index == d.generation {
 		onCall(wait)
 	}
-	for waited := wait == 0; index >= 0 && (d.generation <= index || d.crowded) && !waited; {
+	for waited := wait == 0; index >= 0 && d.generation <= index && !waited; {
 		changed := d.changed
 		d.mu.Unlock()
 		select {
@@ -608,14 +612,6 @@
 		<-q.Context().Done()
 		return
 	}
-	if d.crowded && wait > 0 && index >= 0 {
-		delay := d.crowdDelay
-		d.mu.Unlock()
-		time.Sleep(delay)
-		d.r.logf("discovery ends a call with 503")
-		http.Error(w, "waited too long", http.StatusServiceUnavailable)
-		return
-	}
 	l := d.since(index)
 	d.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
@@ -700,12 +696,3 @@
 	close(l.ended)
 	l.wait.Wait()
 }
-
-// setCrowded makes the service so crowded that a call that waits is told nothing and ends with 503, late after the end of
-// its wait. Or it ends that.
-func (d *discovery) setCrowded(crowded bool, late time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.crowded, d.crowdDelay = crowded, late
-	d.r.logf("discovery crowded: %v", crowded)
-}
