Review: end a case's sidecar with the case, whatever ends that

A case whose output went to a closed pipe was ended by SIGPIPE and left its sidecar.

Ignore SIGPIPE, and let the kernel end the sidecar with the first thread of the stand-in.

--- a/review/stand-2/kit.go
+++ b/review/stand-2/kit.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,7 +75,11 @@
 // cases are the cases by name. The file of each adds it.
 var cases = make(map[string]func(*run))
 
+// The sidecar ends with the thread that has started it, so that is the process's first one.
+func init() { runtime.LockOSThread() }
+
 func main() {
+	signal.Ignore(syscall.SIGPIPE)
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
 		os.Exit(exitCantRun)
@@ -226,6 +231,7 @@
 	logFile, err := os.Create(filepath.Join(r.temp, "sidecar.log"))
 	must(err)
 	s.cmd.Stdout, s.cmd.Stderr = logFile, logFile
+	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the case, whatever ends that
 	must(s.cmd.Start())
 	processesMu.Lock()
 	processes = append(processes, s)
